--- /dev/null
+++ b/src/dunlinknot/cloud/client.cpp
@@ -0,0 +1,83 @@
+#include "dunlinknot/cloud/client.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace dunlinknot::cloud {
+
+namespace {
+constexpr auto kWithin = std::chrono::seconds(5);
+constexpr size_t kBody = 256 * 1024;
+}  // namespace
+
+Client::Client(Loop& loop, http::Transport& transport, http::Endpoint at, double rps)
+    : loop_(loop), transport_(transport), at_(at), budget_(rps * 0.9, std::max(1.0, rps)) {}
+
+Task<http::Reply> Client::call(std::string method, std::string target, std::string body) {
+  while (!budget_.take(loop_.now())) co_await loop_.sleep(budget_.until(loop_.now()));
+  http::Call c;
+  c.to = at_;
+  c.method = std::move(method);
+  c.target = std::move(target);
+  c.body = std::move(body);
+  c.deadline = loop_.now() + kWithin;
+  c.max_body = kBody;
+  http::Reply r = co_await transport_.exchange(std::move(c));
+  if (r.outcome == Outcome::ok && (r.status == 429 || r.status == 503)) {
+    r.outcome = Outcome::refused;
+  }
+  answering_ = r.outcome == Outcome::ok || r.status == 429 || r.status == 503;
+  co_return r;
+}
+
+Task<std::optional<std::vector<MachineType>>> Client::catalog() {
+  http::Reply r = co_await call("GET", "/catalog", "");
+  if (r.outcome != Outcome::ok || r.status != 200) co_return std::nullopt;
+  auto types = wire::read_catalog(r.body);
+  if (!types) spdlog::info("cloud: unreadable catalogue, ignored");
+  co_return types;
+}
+
+Task<RentResult> Client::rent(std::string request, std::string type, std::string zone, bool spot,
+                              uint32_t count) {
+  RentResult out;
+  http::Reply r =
+      co_await call("POST", "/rentals", wire::write_rental(request, type, zone, spot, count));
+  out.outcome = r.outcome;
+  if (r.status == 503) {
+    const auto doc = wire::Document::parse(r.body);
+    out.no_capacity = doc && doc->root()["error"].text() == "no capacity";
+    if (!out.no_capacity) answering_ = false;
+  }
+  if (r.outcome != Outcome::ok) co_return out;
+  if (r.status != 200) {
+    spdlog::error("cloud: rental {} refused with status {}", request, r.status);
+    out.outcome = Outcome::refused;
+    co_return out;
+  }
+  auto machines = wire::read_rented(r.body);
+  if (!machines) {
+    spdlog::info("cloud: unreadable answer to rental {}, taken as unknown", request);
+    out.outcome = Outcome::unknown;
+    co_return out;
+  }
+  out.machines = std::move(*machines);
+  co_return out;
+}
+
+Task<Outcome> Client::remove(std::vector<std::string> machines) {
+  http::Reply r = co_await call("POST", "/rentals/delete", wire::write_deletion(machines));
+  if (r.outcome == Outcome::ok && r.status != 200) co_return Outcome::unknown;
+  co_return r.outcome;
+}
+
+Task<std::optional<MachineList>> Client::list(std::string after) {
+  std::string target = "/rentals?most=200";
+  if (!after.empty()) target += "&since=" + after;
+  http::Reply r = co_await call("GET", target, "");
+  if (r.outcome != Outcome::ok || r.status != 200) co_return std::nullopt;
+  auto list = wire::read_machines(r.body);
+  if (!list) spdlog::info("cloud: unreadable machine list, ignored");
+  co_return list;
+}
+
+}  // namespace dunlinknot::cloud
--- /dev/null
+++ b/src/dunlinknot/cloud/client.hpp
@@ -0,0 +1,44 @@
+// The cloud: machine types, renting, deleting, listing.
+#pragma once
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dunlinknot/http/client.hpp"
+#include "dunlinknot/runtime/budget.hpp"
+#include "dunlinknot/wire/messages.hpp"
+
+namespace dunlinknot::cloud {
+
+using http::Outcome;
+
+struct RentResult {
+  Outcome outcome = Outcome::unknown;
+  bool no_capacity = false;
+  std::vector<std::string> machines;
+};
+
+class Client {
+ public:
+  Client(Loop& loop, http::Transport& transport, http::Endpoint at, double rps);
+
+  Task<std::optional<std::vector<MachineType>>> catalog();
+  Task<RentResult> rent(std::string request, std::string type, std::string zone, bool spot,
+                        uint32_t count);
+  Task<Outcome> remove(std::vector<std::string> machines);
+  Task<std::optional<MachineList>> list(std::string after);
+  // When the cloud may next be asked, and whether it answered the last time.
+  Nanos until_free() { return budget_.until(loop_.now()); }
+  bool answering() const { return answering_; }
+
+ private:
+  Task<http::Reply> call(std::string method, std::string target, std::string body);
+
+  Loop& loop_;
+  http::Transport& transport_;
+  http::Endpoint at_;
+  Budget budget_;
+  bool answering_ = true;
+};
+
+}  // namespace dunlinknot::cloud
--- /dev/null
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -0,0 +1,225 @@
+// The leader's picture of the cluster: open jobs, machines, and what is booked where. Everything
+// that comes from outside passes through here; nothing here does I/O.
+//
+// A booking is the claim "this task may be on that machine". It is made before the task can start
+// and ends only when it is certain that the task is not there (any more). Limits, zones and room
+// are counted over bookings, never over what happens to be reported.
+#pragma once
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dunlinknot/cluster/job.hpp"
+#include "dunlinknot/settings/settings.hpp"
+#include "dunlinknot/wire/records.hpp"
+
+namespace dunlinknot::cluster {
+
+enum class Phase : uint8_t {
+  planned,    // decided, not yet written down: may not start
+  durable,    // stands in the state service: `run` may go out
+  sent,       // `run` went out
+  seen,       // the worker reported it
+  inherited,  // written down by a former leader, which may or may not have sent the `run`
+};
+
+enum class StopReason : uint8_t { none, preempted, recall, cancelled, stray, gang_broken, drain };
+
+struct Booking {
+  TaskRef task;
+  uint64_t attempt = 0;
+  int team = -1;
+  std::string team_name;
+  Resources need;
+  bool gang = false;
+  Priority priority = Priority::low;
+  Phase phase = Phase::planned;
+  uint64_t sent_session = 0;  // of the report that was answered with the `run`
+  TaskState state = TaskState::fetching;
+  Instant placed_at{};
+  Instant running_since{};  // zero: not seen running
+  StopReason stop = StopReason::none;
+  Seconds grace{0};
+  Instant stop_at{};
+  bool stopping() const { return stop != StopReason::none; }
+};
+
+struct CachedImage {
+  std::string name;
+  double gb = 0;
+};
+
+struct Host {
+  std::string id;
+  std::string address;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  Resources size;
+  double cache_gb = 0;
+  double fetch_gb_per_s = 0;
+
+  // What its worker told.
+  bool heard = false;
+  uint64_t session = 0;
+  uint64_t seq = 0;
+  bool ours = false;  // a report bore our baton: older batons are refused there from then on
+  bool lost = false;  // silent beyond its lease; back only with a later session
+  Instant last_heard{};
+  Instant last_answered{};
+  Instant first_heard{};
+  std::optional<Instant> recall_at;
+
+  // What the cloud told.
+  Instant known_since{};
+  bool listed = false;
+  bool listed_failed = false;
+  bool deleting = false;
+
+  bool draining = false;
+  std::string drain_reason;
+  uint32_t error_streak = 0;  // errors since its last completed task
+  std::map<std::string, bool> error_jobs;
+  Instant idle_since{};
+
+  std::vector<Booking> bookings;
+  Resources used;
+  std::vector<CachedImage> images;  // most recently used last; a guess from what was started there
+
+  // Its record in the state service.
+  uint64_t stamp = 0;
+  bool stamp_known = true;
+  bool dirty = false;    // bookings were added
+  bool trailing = false;  // bookings ended: rewritten when there is time
+  bool storing = false;
+  std::vector<std::pair<TaskRef, uint64_t>> stored;
+
+  Resources free() const { return size - used; }
+  bool has_image(std::string_view image) const;
+  Booking* find(const TaskRef& task, uint64_t attempt);
+};
+
+struct TeamUsage {
+  Resources used;
+};
+
+// What an event made necessary; the caller wakes the parts concerned.
+struct Needs {
+  bool schedule = false;
+  bool store_hosts = false;
+  bool store_done = false;
+  bool stops = false;  // stop calls should go out at once
+  void operator|=(const Needs& o) {
+    schedule |= o.schedule, store_hosts |= o.store_hosts, store_done |= o.store_done;
+    stops |= o.stops;
+  }
+};
+
+struct BeatAnswer {
+  enum class Kind { accept, stale, superseded } kind = Kind::accept;
+  std::vector<Command> commands;
+};
+
+struct StopCall {
+  std::string host;
+  std::string address;
+  uint64_t session = 0;
+  std::vector<Command> commands;
+};
+
+class Cluster {
+ public:
+  Cluster(const settings::Platform& platform, const settings::Operator& op);
+
+  // --- take-over
+  void begin_reign(uint64_t epoch, Instant now);
+  void load_job(wire::JobRecord record, uint64_t stamp, Instant now);
+  void load_done(const std::string& job, uint32_t chunk, wire::View value, uint64_t stamp);
+  void load_host(const std::string& id, const wire::HostRecord& record, uint64_t stamp,
+                 Instant now);
+  uint64_t epoch() const { return epoch_; }
+  uint64_t next_attempt();
+
+  // --- jobs
+  Job* job(const std::string& id);
+  const Job* job(const std::string& id) const;
+  const std::map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
+  // The job is over: cancelled by its user (its tasks are stopped), or done (nothing is left).
+  Needs close_job(const std::string& id, bool cancelled, Instant now);
+  const std::vector<settings::Team>& teams() const { return platform_.teams; }
+  const TeamUsage& usage(int team) const { return usage_[static_cast<size_t>(team)]; }
+
+  // --- machines
+  void set_catalog(std::vector<MachineType> types);
+  const std::vector<MachineType>& catalog() const { return catalog_; }
+  const MachineType* type(std::string_view name) const;
+  std::map<std::string, std::unique_ptr<Host>>& hosts() { return hosts_; }
+  const std::map<std::string, std::unique_ptr<Host>>& hosts() const { return hosts_; }
+  Host* host(const std::string& id);
+  Host& learn_host(const std::string& id, std::string_view type, std::string_view zone, bool spot,
+                   Instant now);
+  // The cloud confirmed that the machine is gone, or its lease is over and it is not listed.
+  Needs remove_host(const std::string& id, Instant now);
+
+  // --- workers
+  BeatAnswer on_beat(const Beat& beat, Instant now, bool may_start, Needs& needs);
+  // A report that came as the answer to a direct call: news, but no proof of what is not in it.
+  Needs on_direct_report(const Beat& beat, Instant now);
+  // Ends the bookings of workers whose lease is certainly over.
+  Needs expire(Instant now);
+  // When the lease of this machine's worker is certainly over, as far as is known now.
+  Instant lease_over(const Host& h) const;
+
+  // --- decisions
+  Booking& book(Host& host, Job& job, uint32_t index, uint64_t attempt, Instant now);
+  void stop(Host& host, Booking& booking, StopReason reason, Seconds grace, Instant now);
+  Needs drop_unsent(const std::string& job, Instant now);  // planned bookings of a job are undone
+  std::vector<StopCall> take_stop_calls();
+  Needs tick(Instant now);  // recalls that are due, stops that hang
+
+  // --- the record of a machine in the state service
+  wire::HostRecord record_of(const Host& h) const;
+  void host_stored(Host& h, const wire::HostRecord& as_written, uint64_t stamp, Needs& needs);
+  bool room_in_record(const Host& h) const;
+
+  // Records of machines that are gone, to be deleted: key and stamp.
+  std::vector<std::pair<std::string, uint64_t>> take_dead_records() {
+    return std::exchange(dead_records_, {});
+  }
+  size_t booking_count() const;
+  bool is_gone(const std::string& id) const { return gone_.contains(id); }
+
+ private:
+  void add_booking(Host& h, Booking b);
+  // Ends booking i of h. Returns what follows from it.
+  Needs end_booking(Host& h, size_t i, Instant now, bool gang_goes_on = false);
+  Needs on_exit(Host& h, const TaskReport& r, Instant now);
+  void break_gang(const std::string& job, uint64_t attempt, Instant now, Needs& needs);
+  void on_error(Host& h, Job* job, Instant now);
+  bool fresh(Host& h, const Beat& b) const;
+  void take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs);
+  void note_image(Host& h, const Job& job);
+  int team_index(std::string_view name) const;
+  Instant silent_until(const Host& h) const;
+
+  const settings::Platform& platform_;
+  const settings::Operator& op_;
+  uint64_t epoch_ = 0;
+  uint64_t attempts_ = 0;
+  Instant reign_since_{};
+  Nanos blind_;
+  Nanos lease_;
+  size_t record_limit_;
+  std::vector<MachineType> catalog_;
+  std::map<std::string, std::unique_ptr<Job>> jobs_;
+  std::map<std::string, std::unique_ptr<Host>> hosts_;
+  std::vector<TeamUsage> usage_;
+  std::map<std::string, Instant> gone_;  // machines removed of late: late reports are not believed
+  std::vector<std::pair<std::string, uint64_t>> dead_records_;
+  std::vector<std::string> stop_hosts_;  // hosts with stops that were not called out yet
+};
+
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/src/dunlinknot/cluster/domain.hpp
@@ -0,0 +1,50 @@
+// What the leader's parts share: the picture of the cluster behind its lock, the in-memory records
+// of preemption, and the signals by which one part wakes another.
+#pragma once
+#include "dunlinknot/cluster/cluster.hpp"
+#include "dunlinknot/preemption/nominations.hpp"
+#include "dunlinknot/runtime/loop.hpp"
+#include "dunlinknot/runtime/shared.hpp"
+
+namespace dunlinknot::cluster {
+
+struct Picture {
+  Picture(const settings::Platform& p, const settings::Operator& o) : cluster(p, o) {}
+  Cluster cluster;
+  preemption::Nominations nominations;
+};
+
+struct Domain {
+  Domain(Loop& l, const settings::Platform& p, const settings::Operator& o)
+      : loop(l),
+        platform(p),
+        op(o),
+        picture(p, o),
+        schedule(l),
+        store_hosts(l),
+        store_done(l),
+        stops(l),
+        rentals(l) {}
+
+  Loop& loop;
+  const settings::Platform& platform;
+  const settings::Operator& op;
+  Shared<Picture> picture;
+  Signal schedule, store_hosts, store_done, stops, rentals;
+
+  // Each reign has a number; a part that was started for one ends with it.
+  uint64_t reign = 0;
+  bool loaded = false;  // taken over: workers may be answered
+  uint64_t epoch = 0;
+  uint64_t epoch_stamp = 0;
+  bool in_reign(uint64_t r) const { return reign == r && epoch != 0; }
+
+  void follow_up(const Needs& n) {
+    if (n.schedule) schedule.notify();
+    if (n.store_hosts) store_hosts.notify();
+    if (n.store_done) store_done.notify();
+    if (n.stops) stops.notify();
+  }
+};
+
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/src/dunlinknot/cluster/job.cpp
@@ -0,0 +1,82 @@
+#include "dunlinknot/cluster/job.hpp"
+
+#include <algorithm>
+
+#include "dunlinknot/wire/records.hpp"
+
+namespace dunlinknot::cluster {
+
+Job::Job(JobSpec spec, WallTime submitted, uint64_t stamp_, int team, Instant known_since)
+    : stamp(stamp_),
+      waiting_since(known_since),
+      spec_(std::move(spec)),
+      submitted_(submitted),
+      known_since_(known_since),
+      team_(team),
+      done_(spec_.tasks),
+      durable_(spec_.tasks) {}
+
+std::optional<uint32_t> Job::take_pending() {
+  while (!requeued_.empty()) {
+    const uint32_t i = requeued_.back();
+    requeued_.pop_back();
+    if (!done_[i] && !is_live(i)) return i;
+  }
+  while (next_fresh_ < spec_.tasks) {
+    const uint32_t i = next_fresh_++;
+    if (!done_[i] && !is_live(i)) return i;
+  }
+  return std::nullopt;
+}
+
+void Job::mark_done(uint32_t index) {
+  if (done_[index]) return;
+  done_[index] = true;
+  ++done_count_;
+  if (is_live(index)) --unfinished_live_;
+  dirty_chunks_.insert(index / wire::kChunkTasks);
+}
+
+void Job::booked(uint32_t index) {
+  if (live_[index]++ == 0 && !done_[index]) ++unfinished_live_;
+}
+
+void Job::unbooked(uint32_t index) {
+  const auto it = live_.find(index);
+  if (it == live_.end()) return;
+  if (--it->second > 0) return;
+  live_.erase(it);
+  if (!done_[index]) {
+    --unfinished_live_;
+    if (index < next_fresh_) requeued_.push_back(index);
+  }
+}
+
+void Job::load_chunk(uint32_t chunk, const std::vector<bool>& done, uint64_t stamp_) {
+  chunk_stamps[chunk] = stamp_;
+  const size_t begin = size_t{chunk} * wire::kChunkTasks;
+  const size_t end = std::min<size_t>(done.size(), begin + wire::kChunkTasks);
+  for (size_t i = begin; i < end; ++i) {
+    if (!done[i]) continue;
+    if (!done_[i]) {
+      done_[i] = true;
+      ++done_count_;
+      if (is_live(static_cast<uint32_t>(i))) --unfinished_live_;
+    }
+    durable_[i] = true;
+  }
+}
+
+void Job::chunk_stored(uint32_t chunk, const std::vector<bool>& as_written, uint64_t stamp_) {
+  chunk_stamps[chunk] = stamp_;
+  const size_t begin = size_t{chunk} * wire::kChunkTasks;
+  const size_t end = std::min<size_t>(done_.size(), begin + wire::kChunkTasks);
+  bool clean = true;
+  for (size_t i = begin; i < end; ++i) {
+    durable_[i] = as_written[i];
+    if (done_[i] && !durable_[i]) clean = false;
+  }
+  if (clean) dirty_chunks_.erase(chunk);
+}
+
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/src/dunlinknot/cluster/job.hpp
@@ -0,0 +1,72 @@
+// An open job as the leader knows it.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dunlinknot/wire/messages.hpp"
+
+namespace dunlinknot::cluster {
+
+class Job {
+ public:
+  Job(JobSpec spec, WallTime submitted, uint64_t stamp, int team, Instant known_since);
+
+  const JobSpec& spec() const { return spec_; }
+  WallTime submitted() const { return submitted_; }
+  Instant known_since() const { return known_since_; }
+  int team() const { return team_; }
+
+  uint64_t stamp;  // of its record; every booking guards it
+
+  // Tasks that are neither done nor booked anywhere.
+  uint32_t pending() const { return spec_.tasks - done_count_ - unfinished_live_; }
+  uint32_t unfinished() const { return spec_.tasks - done_count_; }
+  std::optional<uint32_t> take_pending();  // the caller books it
+  bool is_done(uint32_t index) const { return done_[index]; }
+  bool is_durable(uint32_t index) const { return durable_[index]; }
+  uint32_t done_count() const { return done_count_; }
+  bool all_done() const { return done_count_ == spec_.tasks; }
+  bool any_live() const { return !live_.empty(); }
+  bool is_live(uint32_t index) const { return live_.contains(index); }
+
+  void mark_done(uint32_t index);
+  void booked(uint32_t index);
+  void unbooked(uint32_t index);
+
+  // Durable progress, by chunk.
+  const std::set<uint32_t>& dirty_chunks() const { return dirty_chunks_; }
+  const std::vector<bool>& done_bits() const { return done_; }
+  void load_chunk(uint32_t chunk, const std::vector<bool>& done, uint64_t stamp);
+  void chunk_stored(uint32_t chunk, const std::vector<bool>& as_written, uint64_t stamp);
+  std::map<uint32_t, uint64_t> chunk_stamps;
+
+  // What went wrong with its tasks.
+  std::set<std::string> failed_on;  // machines; bounded
+  bool failing = false;             // fails everywhere: backs off and may not evict
+  Nanos backoff{0};
+  Instant not_before{};
+
+  uint32_t running = 0;       // tasks reported running
+  uint64_t gang_attempt = 0;  // the attempt under way
+  bool gang_go = false;       // all its bookings are durable: runs may go out
+  Instant waiting_since{};    // since when some of it waits for a place
+
+ private:
+  JobSpec spec_;
+  WallTime submitted_;
+  Instant known_since_;
+  int team_;
+  std::vector<bool> done_;
+  std::vector<bool> durable_;
+  uint32_t done_count_ = 0;
+  uint32_t unfinished_live_ = 0;
+  uint32_t next_fresh_ = 0;
+  std::vector<uint32_t> requeued_;
+  std::unordered_map<uint32_t, uint32_t> live_;  // task -> bookings
+  std::set<uint32_t> dirty_chunks_;
+};
+
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/src/dunlinknot/cluster/ledger.hpp
@@ -0,0 +1,51 @@
+// The leader's writing in the state service: bookings before their `run`, completions before they
+// are told or forgotten. Every transaction guards `epoch` and the stamps of what it changes.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+
+#include "dunlinknot/cluster/domain.hpp"
+#include "dunlinknot/state/client.hpp"
+
+namespace dunlinknot::cluster {
+
+class Ledger {
+ public:
+  struct Hooks {
+    std::function<void(std::string_view why)> deposed;           // a guard on `epoch` failed
+    std::function<void(const std::string& id, uint32_t tasks)> finished;  // `done` is durable
+  };
+  Ledger(Domain& domain, state::Client& state, Hooks hooks);
+
+  // Reads everything a new leader needs; false when the reign ended meanwhile.
+  Task<bool> load(uint64_t reign);
+  Task<void> store_hosts(uint64_t reign);
+  Task<void> store_done(uint64_t reign);
+  Task<void> watch_jobs(uint64_t reign);
+
+ private:
+  struct HostWrite {
+    std::string id;
+    uint64_t stamp = 0;
+    wire::HostRecord record;
+  };
+  using Visit = std::function<void(const state::Item&)>;
+  Task<bool> list_all(uint64_t reign, std::string prefix, Visit visit, uint64_t* revision);
+  Task<void> refresh_hosts(uint64_t reign);
+  Task<bool> store_some_hosts(uint64_t reign, bool trailing);
+  Task<bool> delete_some_records(uint64_t reign);
+  Task<bool> store_some_done(uint64_t reign);
+  Task<void> recheck_job(uint64_t reign, std::string id);
+  Task<bool> relist_jobs(uint64_t reign);
+  void take_job(const state::Item& item);
+  state::Guard epoch_guard() const;
+
+  Domain& domain_;
+  state::Client& state_;
+  Hooks hooks_;
+  uint64_t jobs_revision_ = 0;
+  std::deque<std::pair<std::string, uint64_t>> garbage_;  // keys to delete when there is time
+};
+
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -0,0 +1,240 @@
+#include "dunlinknot/fleet/fleet.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace dunlinknot::fleet {
+
+namespace {
+
+using cluster::Host;
+using cluster::Needs;
+using cluster::Picture;
+using http::Outcome;
+
+constexpr auto kListEvery = std::chrono::seconds(3);
+constexpr auto kCatalogEvery = std::chrono::seconds(45);
+constexpr auto kRepeat = Millis(1500);
+constexpr uint32_t kMaxRentals = 24;
+constexpr Seconds kBootSlack{15};
+constexpr size_t kMaxDeletion = 50;
+
+}  // namespace
+
+Fleet::Fleet(cluster::Domain& domain, cloud::Client& cloud) : domain_(domain), cloud_(cloud) {}
+
+void Fleet::begin_reign() {
+  counter_ = 0;
+  rentals_.clear();
+  in_flight_.clear();
+  refused_until_.clear();
+  discards_.clear();
+  removing_ = false;
+}
+
+scheduler::Market Fleet::market(Instant now) {
+  scheduler::Market m;
+  for (const auto& r : rentals_) m.pending.emplace_back(r.offer, r.count);
+  std::erase_if(refused_until_, [&](const auto& r) { return r.second <= now; });
+  for (const auto& [offer, until] : refused_until_) m.refused.insert(offer);
+  return m;
+}
+
+void Fleet::order(const std::vector<scheduler::Wish>& wishes) {
+  for (const auto& w : wishes) {
+    if (rentals_.size() >= kMaxRentals) return;  // the next round wishes again
+    Rental r;
+    r.request = "h-" + std::to_string(domain_.epoch) + "-" + std::to_string(++counter_);
+    r.offer = w.offer;
+    r.count = std::min(w.count, 50u);
+    r.job = w.job;
+    spdlog::info("renting {} x {} {} in {} for {} as {}", r.count, w.offer.spot ? "spot" : "ordinary",
+                 w.offer.type, w.offer.zone, w.job, r.request);
+    rentals_.push_back(std::move(r));
+  }
+  if (!rentals_.empty()) domain_.rentals.notify();
+}
+
+Task<void> Fleet::rent(uint64_t reign, Rental r) {
+  cloud::RentResult result =
+      co_await cloud_.rent(r.request, r.offer.type, r.offer.zone, r.offer.spot, r.count);
+  if (!domain_.in_reign(reign)) co_return;
+  in_flight_.erase(r.request);
+  const Instant now = domain_.loop.now();
+  const auto forget = [&] {
+    std::erase_if(rentals_, [&](const Rental& x) { return x.request == r.request; });
+  };
+  if (result.outcome == Outcome::ok) {
+    forget();
+    spdlog::info("rented {} of {} for {}", result.machines.size(), r.count, r.request);
+    domain_.picture.with([&](Picture& p) {
+      for (const auto& id : result.machines) {
+        p.cluster.learn_host(id, r.offer.type, r.offer.zone, r.offer.spot, now);
+      }
+    });
+    if (result.machines.size() < r.count) refused_until_[r.offer] = now + to_nanos(domain_.op.refusal_pause);
+    domain_.schedule.notify();
+    co_return;
+  }
+  if (result.no_capacity || (result.outcome == Outcome::refused && cloud_.answering())) {
+    // Certainly not carried out; the scheduler may wish for something else.
+    forget();
+    if (result.no_capacity) {
+      refused_until_[r.offer] = now + to_nanos(domain_.op.refusal_pause);
+      spdlog::info("no capacity for {} {} in {}", r.offer.spot ? "spot" : "ordinary", r.offer.type,
+                   r.offer.zone);
+    }
+    domain_.schedule.notify();
+    co_return;
+  }
+  // Trouble, or no answer: the same request again, under its own name only.
+  for (auto& x : rentals_) {
+    if (x.request == r.request && x.tries++ == 0) {
+      spdlog::info("no answer to rental {}: it is repeated", r.request);
+    }
+  }
+  co_await domain_.loop.sleep(kRepeat);
+  if (domain_.in_reign(reign)) domain_.rentals.notify();
+}
+
+Task<void> Fleet::remove(uint64_t reign, std::vector<std::string> machines) {
+  const Outcome r = co_await cloud_.remove(machines);
+  if (!domain_.in_reign(reign)) co_return;
+  removing_ = false;
+  if (r == Outcome::ok) {
+    // By the time of this answer the machines and everything on them are gone.
+    Needs needs;
+    domain_.picture.with([&](Picture& p) {
+      for (const auto& id : machines) needs |= p.cluster.remove_host(id, domain_.loop.now());
+    });
+    domain_.follow_up(needs);
+  } else {
+    for (const auto& id : machines) discards_.push_back(id);
+    co_await domain_.loop.sleep(kRepeat);
+    if (!domain_.in_reign(reign)) co_return;
+  }
+  domain_.rentals.notify();
+}
+
+Task<void> Fleet::work(uint64_t reign) {
+  while (domain_.in_reign(reign)) {
+    for (const auto& r : rentals_) {
+      if (in_flight_.size() >= 4) break;
+      if (r.tries > 0 && !in_flight_.empty() && !cloud_.answering()) break;
+      if (in_flight_.insert(r.request).second) domain_.loop.spawn(rent(reign, r));
+    }
+    if (!removing_ && !discards_.empty()) {
+      std::vector<std::string> batch;
+      while (!discards_.empty() && batch.size() < kMaxDeletion) {
+        batch.push_back(std::move(discards_.front()));
+        discards_.pop_front();
+      }
+      removing_ = true;
+      domain_.loop.spawn(remove(reign, std::move(batch)));
+    }
+    (void)co_await domain_.rentals.wait();
+  }
+}
+
+Task<void> Fleet::watch_machines(uint64_t reign) {
+  Instant next_catalog = domain_.loop.now() + kCatalogEvery;
+  while (domain_.in_reign(reign)) {
+    std::string after;
+    for (;;) {
+      std::optional<MachineList> list = co_await cloud_.list(after);
+      if (!domain_.in_reign(reign)) co_return;
+      if (!list) break;
+      take_list(list->machines, domain_.loop.now());
+      if (!list->more || list->machines.empty()) break;
+      after = list->machines.back().id;
+    }
+    if (domain_.loop.now() >= next_catalog) {
+      next_catalog = domain_.loop.now() + kCatalogEvery;
+      auto types = co_await cloud_.catalog();
+      if (!domain_.in_reign(reign)) co_return;
+      if (types) {
+        domain_.picture.with([&](Picture& p) { p.cluster.set_catalog(std::move(*types)); });
+      }
+    }
+    co_await domain_.loop.sleep(kListEvery);
+  }
+}
+
+void Fleet::take_list(const std::vector<ListedMachine>& machines, Instant now) {
+  bool changed = false;
+  std::vector<std::string> failed;
+  domain_.picture.with([&](Picture& p) {
+    for (const auto& m : machines) {
+      if (p.cluster.is_gone(m.id)) continue;  // the list lags
+      const bool known = p.cluster.host(m.id) != nullptr;
+      Host& h = p.cluster.learn_host(m.id, m.type, m.zone, m.spot, now);
+      if (!known) {
+        // Not rented under this reign, or by a request whose answer was lost: used like any other.
+        h.known_since = now - to_nanos(m.age);
+        changed = true;
+        spdlog::info("machine {} ({} in {}) found in the list", m.id, m.type, m.zone);
+      }
+      h.listed = true;
+      if (h.address.empty()) h.address = m.address;
+      if (m.state == MachineState::failed && !h.listed_failed) {
+        h.listed_failed = true;
+        changed = true;
+        failed.push_back(m.id);
+      }
+    }
+  });
+  for (const auto& id : failed) discard(id, "it failed");
+  if (changed) domain_.schedule.notify();
+}
+
+void Fleet::discard(const std::string& id, std::string_view why) {
+  const bool go = domain_.picture.with([&](Picture& p) {
+    Host* h = p.cluster.host(id);
+    if (!h || h->deleting) return false;
+    h->deleting = true;
+    return true;
+  });
+  if (!go) return;
+  spdlog::info("returning machine {}: {}", id, why);
+  discards_.push_back(id);
+  domain_.rentals.notify();
+}
+
+void Fleet::sweep(const std::vector<std::string>& wanted, size_t waiting_tasks, Instant now) {
+  std::vector<std::pair<std::string, std::string>> out;
+  const auto& op = domain_.op;
+  domain_.picture.with([&](Picture& p) {
+    for (const auto& [id, h] : p.cluster.hosts()) {
+      if (h->deleting) continue;
+      if (!h->heard) {
+        // Some take several times as long; some never come up and cost until they are deleted.
+        // What is booked there by a former leader ends with the deletion (the fast fence).
+        const MachineType* t = p.cluster.type(h->type);
+        if (!t) continue;
+        if (now - h->known_since > to_nanos(t->boot * op.boot_patience + kBootSlack)) {
+          out.emplace_back(id, "it never came up");
+        }
+        continue;
+      }
+      if (h->lost) {
+        if (now - h->last_heard > to_nanos(domain_.platform.lease + op.lost_return)) {
+          out.emplace_back(id, "its worker stays silent");
+        }
+        continue;
+      }
+      if (!h->bookings.empty()) continue;
+      if (h->draining) {
+        out.emplace_back(id, h->drain_reason);
+      } else if (h->recall_at) {
+        out.emplace_back(id, "it is recalled and empty");
+      } else if (now - h->idle_since > to_nanos(op.idle_return) &&
+                 std::find(wanted.begin(), wanted.end(), id) == wanted.end()) {
+        out.emplace_back(id, waiting_tasks > 0 ? "idle, and nothing that waits fits" : "idle");
+      }
+    }
+  });
+  for (const auto& [id, why] : out) discard(id, why);
+}
+
+}  // namespace dunlinknot::fleet
--- /dev/null
+++ b/src/dunlinknot/fleet/fleet.hpp
@@ -0,0 +1,53 @@
+// Renting and returning machines. A request name (`hire`) carries the epoch and a counter, so no
+// node ever uses one again; a request without an answer is repeated under its own name until the
+// cloud says what became of it.
+#pragma once
+#include <deque>
+#include <map>
+#include <set>
+
+#include "dunlinknot/cloud/client.hpp"
+#include "dunlinknot/cluster/domain.hpp"
+#include "dunlinknot/scheduler/scheduler.hpp"
+
+namespace dunlinknot::fleet {
+
+class Fleet {
+ public:
+  Fleet(cluster::Domain& domain, cloud::Client& cloud);
+
+  // Forgets what was of an earlier reign.
+  void begin_reign();
+  Task<void> watch_machines(uint64_t reign);  // the list, the catalogue
+  Task<void> work(uint64_t reign);            // rentals and returns
+
+  // What the scheduler needs to know; and its wishes.
+  scheduler::Market market(Instant now);
+  void order(const std::vector<scheduler::Wish>& wishes);
+  // Looks for machines to return; called after each round.
+  void sweep(const std::vector<std::string>& wanted, size_t waiting_tasks, Instant now);
+
+ private:
+  struct Rental {
+    std::string request;
+    scheduler::Offer offer;
+    uint32_t count = 0;
+    std::string job;
+    uint32_t tries = 0;
+  };
+  Task<void> rent(uint64_t reign, Rental r);
+  Task<void> remove(uint64_t reign, std::vector<std::string> machines);
+  void take_list(const std::vector<ListedMachine>& machines, Instant now);
+  void discard(const std::string& id, std::string_view why);
+
+  cluster::Domain& domain_;
+  cloud::Client& cloud_;
+  uint64_t counter_ = 0;
+  std::vector<Rental> rentals_;              // ordered and not answered
+  std::set<std::string> in_flight_;          // of them, the ones being asked for now
+  std::map<scheduler::Offer, Instant> refused_until_;
+  std::deque<std::string> discards_;         // machines to delete
+  bool removing_ = false;
+};
+
+}  // namespace dunlinknot::fleet
--- /dev/null
+++ b/src/dunlinknot/http/socket.cpp
@@ -0,0 +1,149 @@
+#include "dunlinknot/http/socket.hpp"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <stdexcept>
+
+namespace dunlinknot::http {
+
+namespace {
+
+sockaddr_in address_of(Endpoint e) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_addr.s_addr = e.ip;
+  a.sin_port = htons(e.port);
+  return a;
+}
+
+}  // namespace
+
+std::optional<Endpoint> Endpoint::parse(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  const std::string host(text.substr(0, colon));
+  const std::string_view port = text.substr(colon + 1);
+  Endpoint e;
+  in_addr ip{};
+  if (::inet_pton(AF_INET, host.c_str(), &ip) != 1) return std::nullopt;
+  e.ip = ip.s_addr;
+  const auto r = std::from_chars(port.data(), port.data() + port.size(), e.port);
+  if (r.ec != std::errc{} || r.ptr != port.data() + port.size() || e.port == 0) return std::nullopt;
+  return e;
+}
+
+std::string Endpoint::text() const {
+  char buf[INET_ADDRSTRLEN] = {};
+  in_addr a{ip};
+  ::inet_ntop(AF_INET, &a, buf, sizeof buf);
+  return std::string(buf) + ":" + std::to_string(port);
+}
+
+Socket::Socket(Loop& loop, int fd) : loop_(&loop), fd_(fd) { loop.watch_fd(fd); }
+
+Socket::Socket(Socket&& o) noexcept : loop_(o.loop_), fd_(std::exchange(o.fd_, -1)) {}
+
+Socket& Socket::operator=(Socket&& o) noexcept {
+  if (this != &o) {
+    close();
+    loop_ = o.loop_;
+    fd_ = std::exchange(o.fd_, -1);
+  }
+  return *this;
+}
+
+void Socket::close() {
+  if (fd_ < 0) return;
+  loop_->forget_fd(fd_);
+  ::close(fd_);
+  fd_ = -1;
+}
+
+Task<Socket> Socket::connect(Loop& loop, Endpoint to, Instant deadline) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) co_return Socket{};
+  const int one = 1;
+  ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  Socket s(loop, fd);
+  const sockaddr_in addr = address_of(to);
+  if (::connect(fd, reinterpret_cast<const sockaddr*>(&addr), sizeof addr) == 0) co_return s;
+  if (errno != EINPROGRESS) co_return Socket{};
+  if (!co_await loop.writable(fd, deadline)) co_return Socket{};
+  int err = 0;
+  socklen_t len = sizeof err;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ERROR, &err, &len) != 0 || err != 0) co_return Socket{};
+  co_return s;
+}
+
+Task<ssize_t> Socket::read_some(char* into, size_t room, Instant deadline) {
+  for (;;) {
+    const ssize_t n = ::recv(fd_, into, room, 0);
+    if (n >= 0) co_return n;
+    if (errno == EINTR) continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK) co_return -1;
+    if (!co_await loop_->readable(fd_, deadline)) co_return -1;
+  }
+}
+
+Task<bool> Socket::write_all(std::string_view bytes, Instant deadline) {
+  while (!bytes.empty()) {
+    const ssize_t n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (n > 0) {
+      bytes.remove_prefix(static_cast<size_t>(n));
+      continue;
+    }
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK) co_return false;
+    if (!co_await loop_->writable(fd_, deadline)) co_return false;
+  }
+  co_return true;
+}
+
+Listener::Listener(Loop& loop, Endpoint at) : loop_(loop) {
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0) throw std::runtime_error("cannot make a socket");
+  const int one = 1;
+  ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  const sockaddr_in addr = address_of(at);
+  if (::bind(fd, reinterpret_cast<const sockaddr*>(&addr), sizeof addr) != 0 ||
+      ::listen(fd, 256) != 0) {
+    const std::string why = std::strerror(errno);
+    ::close(fd);
+    throw std::runtime_error("cannot listen on " + at.text() + ": " + why);
+  }
+  socket_ = Socket(loop, fd);
+}
+
+uint16_t Listener::port() const {
+  sockaddr_in a{};
+  socklen_t len = sizeof a;
+  ::getsockname(socket_.fd(), reinterpret_cast<sockaddr*>(&a), &len);
+  return ntohs(a.sin_port);
+}
+
+Task<Socket> Listener::accept() {
+  for (;;) {
+    const int fd = ::accept4(socket_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      const int one = 1;
+      ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+      co_return Socket(loop_, fd);
+    }
+    if (errno == EAGAIN || errno == EWOULDBLOCK) {
+      (void)co_await loop_.readable(socket_.fd(), Instant::max());
+    } else if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+      co_await loop_.sleep(Millis(50));  // out of sockets: the queue waits, nothing is lost
+    } else if (errno != EINTR && errno != ECONNABORTED) {
+      co_await loop_.sleep(Millis(10));
+    }
+  }
+}
+
+}  // namespace dunlinknot::http
--- /dev/null
+++ b/src/dunlinknot/jobs/desk.cpp
@@ -0,0 +1,257 @@
+#include "dunlinknot/jobs/desk.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace dunlinknot::jobs {
+
+namespace {
+
+using http::Outcome;
+using http::Response;
+
+constexpr auto kSubmitTime = Millis(4000);  // users wait 5 s
+constexpr auto kPollTime = Millis(1600);    // users wait 2 s
+constexpr auto kTryTime = Millis(800);
+constexpr auto kStateGone = Millis(1500);
+
+struct InFlight {
+  size_t& n;
+  explicit InFlight(size_t& c) : n(c) { ++n; }
+  InFlight(const InFlight&) = delete;
+  InFlight& operator=(const InFlight&) = delete;
+  ~InFlight() { --n; }
+};
+
+}  // namespace
+
+void FinalCache::put(const std::string& id, wire::FinalRecord r) {
+  if (most_ == 0 || !records_.emplace(id, r).second) return;
+  order_.push_back(id);
+  if (order_.size() > most_) {
+    records_.erase(order_.front());
+    order_.pop_front();
+  }
+}
+
+const wire::FinalRecord* FinalCache::find(const std::string& id) const {
+  const auto it = records_.find(id);
+  return it == records_.end() ? nullptr : &it->second;
+}
+
+void ProgressBoard::replace(wire::peer::Progress p) {
+  if (p.epoch < epoch_) return;
+  epoch_ = p.epoch;
+  jobs_.clear();
+  for (auto& e : p.entries) jobs_[std::move(e.id)] = {e.done, e.running};
+}
+
+std::pair<uint32_t, uint32_t> ProgressBoard::of(const std::string& id) const {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? std::pair<uint32_t, uint32_t>{0, 0} : it->second;
+}
+
+Desk::Desk(Loop& loop, state::Client& state, const settings::Platform& platform,
+           const settings::Operator& op, uint32_t seed)
+    : loop_(loop),
+      state_(state),
+      platform_(platform),
+      op_(op),
+      finals_(op.final_cache),
+      random_(seed) {}
+
+// Refused at once, with a time to come back that spreads the retries.
+Response Desk::later(int least_s) {
+  ++refused_;
+  Response r;
+  r.status = 503;
+  r.retry_after_s = std::uniform_int_distribution<int>(least_s, least_s + 2)(random_);
+  r.body = wire::write_error("try again later");
+  return r;
+}
+
+Response Desk::refuse(int status, std::string_view why) const {
+  Response r;
+  r.status = status;
+  r.body = wire::write_error(why);
+  return r;
+}
+
+std::string Desk::never_runs(const JobSpec& spec) const {
+  const auto team = std::find_if(platform_.teams.begin(), platform_.teams.end(),
+                                 [&](const auto& t) { return t.name == spec.team; });
+  if (team == platform_.teams.end()) return "unknown team";
+  if (spec.zone && std::find(platform_.zones.begin(), platform_.zones.end(), *spec.zone) ==
+                       platform_.zones.end()) {
+    return "unknown zone";
+  }
+  const bool fits = std::any_of(catalog_.begin(), catalog_.end(), [&](const MachineType& t) {
+    const bool allowed =
+        spec.types.empty() || std::find(spec.types.begin(), spec.types.end(), t.name) != spec.types.end();
+    return allowed && spec.need.fits_in(t.size);
+  });
+  if (!fits) return "a task fits no allowed machine type";
+  const double n = spec.gang ? spec.tasks : 1;
+  const auto over = [](double need, double most) {
+    return most > 0 && need > most + Resources::kSlack;
+  };
+  if (over(spec.need.cpus * n, team->cpus_max) || over(spec.need.gpus * n, team->gpus_max)) {
+    return "the job needs more than its team's limit";
+  }
+  return "";
+}
+
+Task<Desk::Lookup> Desk::look_up(std::string id, Instant deadline) {
+  Lookup out;
+  if (const auto* f = finals_.find(id)) {
+    out.known = Known::final;
+    out.final = *f;
+    co_return out;
+  }
+  while (loop_.now() < deadline) {
+    const Nanos within = std::min<Nanos>(kTryTime, deadline - loop_.now());
+    state::GetResult open = co_await state_.get(wire::job_key(id), within);
+    if (open.outcome == Outcome::refused) co_return out;
+    if (open.outcome != Outcome::ok) continue;
+    if (open.found) {
+      out.known = Known::open;
+      out.stamp = open.item.stamp;
+      out.tasks = static_cast<uint32_t>(open.item.value["job"]["pieces"].count().value_or(0));
+      co_return out;
+    }
+    // Not open: over or never submitted. A job moves from one key to the other in one transaction,
+    // so reading them in this order cannot miss it.
+    state::GetResult final = co_await state_.get(wire::final_key(id), within);
+    if (final.outcome == Outcome::refused) co_return out;
+    if (final.outcome != Outcome::ok) continue;
+    if (!final.found) {
+      out.known = Known::no;
+      co_return out;
+    }
+    const auto record = wire::read_final(final.item.value);
+    if (!record) {
+      spdlog::error("the record {} cannot be read", wire::final_key(id));
+      co_return out;
+    }
+    out.known = Known::final;
+    out.final = *record;
+    finals_.put(id, *record);
+    co_return out;
+  }
+  co_return out;
+}
+
+Response Desk::standing_of(const std::string& id, const Lookup& found, bool with_counts) {
+  JobStanding s;
+  s.id = id;
+  if (found.known == Known::final) {
+    s.state = found.final.cancelled ? JobStanding::State::cancelled : JobStanding::State::done;
+    s.done = found.final.cancelled ? 0 : found.final.tasks;
+  } else {
+    const auto [done, running] = progress_.of(id);
+    s.done = done;
+    s.running = running;
+    s.state = running > 0 ? JobStanding::State::running : JobStanding::State::queued;
+  }
+  Response r;
+  r.status = 200;
+  r.body = wire::write_standing(s, with_counts);
+  return r;
+}
+
+Task<Response> Desk::submit(std::string body) {
+  const auto doc = wire::Document::parse(body);
+  if (!doc || !doc->root().is_map()) co_return refuse(400, "the body is not a MessagePack map");
+  const auto id = wire::submitted_id(doc->root());
+  if (!id) co_return refuse(400, "missing or invalid: id");
+  if (const auto* f = finals_.find(*id)) {
+    Lookup found;
+    found.known = Known::final;
+    found.final = *f;
+    co_return standing_of(*id, found, false);
+  }
+  if (submitting_ >= op_.max_submissions || !state_.has_room(4, 4)) co_return later();
+  const InFlight in_flight(submitting_);
+  const Instant deadline = loop_.now() + kSubmitTime;
+
+  std::string why;
+  const auto spec = wire::read_job(doc->root(), why);
+  int refusal = spec ? 0 : 400;
+  if (spec && catalog_known()) {
+    why = never_runs(*spec);
+    if (!why.empty()) refusal = 422;
+  }
+  if (refusal != 0 || !catalog_known()) {
+    // A known id is answered with its state before anything is held against the body.
+    const Lookup found = co_await look_up(*id, loop_.now() + kPollTime);
+    if (found.known == Known::open || found.known == Known::final) {
+      co_return standing_of(*id, found, false);
+    }
+    if (found.known == Known::unclear || refusal == 0) co_return later();
+    co_return refuse(refusal, why);
+  }
+
+  const std::string record = wire::write_job_record({*spec, loop_.wall()});
+  while (loop_.now() < deadline) {
+    state::Txn txn;
+    txn.guards.push_back({wire::job_key(*id), 0});
+    txn.guards.push_back({wire::final_key(*id), 0});
+    txn.writes.push_back({wire::job_key(*id), record, 0});
+    const Nanos within = std::min<Nanos>(kTryTime, deadline - loop_.now());
+    state::TxnResult r = co_await state_.commit(std::move(txn), within);
+    if (r.outcome == Outcome::refused) co_return later();
+    if (r.outcome != Outcome::ok) continue;  // the same again: the guards make that harmless
+    if (r.applied) {
+      ++accepted_;
+      Response ok;
+      ok.status = 201;
+      ok.body = wire::write_standing({*id, JobStanding::State::queued, 0, 0}, false);
+      co_return ok;
+    }
+    const Lookup found = co_await look_up(*id, deadline);
+    if (found.known == Known::open || found.known == Known::final) {
+      co_return standing_of(*id, found, false);
+    }
+    if (found.known == Known::unclear) break;
+  }
+  co_return later();
+}
+
+Task<Response> Desk::poll(std::string id) {
+  if (!wire::valid_job_id(id)) co_return refuse(404, "no such job");
+  if (looking_ >= op_.max_polls) co_return later();
+  const InFlight in_flight(looking_);
+  const Lookup found = co_await look_up(id, loop_.now() + kPollTime);
+  if (found.known == Known::unclear) co_return later();
+  if (found.known == Known::no) co_return refuse(404, "no such job");
+  co_return standing_of(id, found, true);
+}
+
+Task<Response> Desk::withdraw(std::string id) {
+  if (!wire::valid_job_id(id)) co_return refuse(404, "no such job");
+  if (looking_ >= op_.max_polls) co_return later();
+  const InFlight in_flight(looking_);
+  const Instant deadline = loop_.now() + kSubmitTime;
+  while (loop_.now() < deadline) {
+    const Lookup found = co_await look_up(id, deadline);
+    if (found.known == Known::unclear) break;
+    if (found.known == Known::no) co_return refuse(404, "no such job");
+    if (found.known == Known::final) co_return standing_of(id, found, false);
+    // Safety 3: the job's record goes and its final answer stands in one transaction, before the
+    // user is told. From here on every booking for it fails its guard.
+    state::Txn txn;
+    txn.guards.push_back({wire::job_key(id), found.stamp});
+    txn.guards.push_back({wire::final_key(id), 0});
+    txn.writes.push_back({wire::final_key(id), wire::write_final({true, found.tasks}), 0});
+    txn.writes.push_back({wire::job_key(id), "", 0});
+    const Nanos within = std::min<Nanos>(kTryTime, deadline - loop_.now());
+    state::TxnResult r = co_await state_.commit(std::move(txn), within);
+    if (r.outcome == Outcome::refused) break;
+    if (r.outcome == Outcome::ok && r.applied) finals_.put(id, {true, found.tasks});
+    // Applied, overtaken or unknown: what stands now is the answer.
+  }
+  co_return later();
+}
+
+}  // namespace dunlinknot::jobs
--- /dev/null
+++ b/src/dunlinknot/leadership/elector.cpp
@@ -0,0 +1,240 @@
+#include "dunlinknot/leadership/elector.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "dunlinknot/wire/records.hpp"
+
+namespace dunlinknot::leadership {
+
+namespace {
+
+constexpr double kDrift = 1.001;  // two clocks, each off by up to 0.05%
+constexpr Seconds kMargin{1.0};
+constexpr auto kCallTime = Millis(700);
+constexpr auto kRetry = Millis(150);
+constexpr auto kWatchBlock = Millis(10'000);
+constexpr auto kOutAfterResigning = std::chrono::seconds(20);
+
+}  // namespace
+
+Nanos blind_window(const settings::Platform& p) {
+  const Seconds left = p.cancel - p.lease * kDrift - kMargin * 2;
+  return to_nanos(std::max(Seconds(0), left / kDrift));
+}
+
+Nanos lease_bound(const settings::Platform& p) { return to_nanos(p.lease * kDrift + kMargin / 2); }
+
+Elector::Elector(Loop& loop, state::Client& state, const settings::Platform& platform, Nanos ttl,
+                 Hooks hooks)
+    : loop_(loop),
+      state_(state),
+      platform_(platform),
+      ttl_(ttl),
+      hooks_(std::move(hooks)),
+      blind_(blind_window(platform)),
+      changed_(loop) {}
+
+bool Elector::may_start() const {
+  return leading_ && loop_.now() - state_.last_served_sent() < ttl_ * 2 / 3;
+}
+
+bool Elector::may_renew(std::optional<Instant> common_silence) const {
+  if (!leading_) return false;
+  Instant from = state_.last_served_sent();
+  if (common_silence) from = std::max(from, *common_silence);
+  return loop_.now() < from + blind_;
+}
+
+void Elector::heard_of(uint64_t epoch, std::optional<std::string> leader, std::string_view from) {
+  if (epoch < known_epoch_) return;
+  if (epoch > known_epoch_) {
+    known_epoch_ = epoch;
+    known_leader_ = std::move(leader);
+  } else if (leader && !known_leader_) {
+    known_leader_ = std::move(leader);
+  }
+  // A higher epoch exists, so ours is over, whatever our own view of the state service is.
+  if (leading_ && epoch > reign_.epoch) {
+    step_down(std::string("heard of epoch ") + std::to_string(epoch) + " from " +
+              std::string(from));
+  }
+}
+
+void Elector::resign(std::string_view why) {
+  if (!leading_) return;
+  not_before_ = loop_.now() + kOutAfterResigning;
+  resigning_ = true;
+  step_down(why);
+}
+
+void Elector::step_down(std::string_view why) {
+  if (!leading_) return;
+  leading_ = false;
+  if (known_leader_ == platform_.node && known_epoch_ <= reign_.epoch) known_leader_.reset();
+  spdlog::info("leadership: epoch {} ended here: {}", reign_.epoch, why);
+  hooks_.lost(reign_.epoch, why);
+  changed_.notify();
+}
+
+void Elector::win(uint64_t epoch, uint64_t stamp) {
+  leading_ = true;
+  resigning_ = false;
+  reign_ = Reign{epoch, stamp, loop_.now()};
+  known_epoch_ = epoch;
+  known_leader_ = platform_.node;
+  spdlog::info("leadership: leading epoch {}", epoch);
+  hooks_.gained(reign_);
+}
+
+Task<void> Elector::run() {
+  for (;;) {
+    co_await follow();
+    co_await campaign();
+    if (leading_) co_await lead();
+  }
+}
+
+// Watches the key until nobody holds it (or only this node's former process does).
+Task<void> Elector::follow() {
+  bool fresh = false;
+  for (;;) {
+    if (!fresh) {
+      state::GetResult got =
+          co_await state_.get(std::string(wire::kLeaderKey), kCallTime, state::Importance::essential);
+      if (got.outcome != http::Outcome::ok) {
+        co_await loop_.sleep(kRetry);
+        continue;
+      }
+      leader_stamp_.reset();
+      leader_is_old_self_ = false;
+      revision_ = got.revision;
+      if (got.found) {
+        leader_stamp_ = got.item.stamp;
+        revision_ = got.item.stamp;
+        if (const auto r = wire::read_leader(got.item.value)) {
+          heard_of(r->epoch, r->node, "the state service");
+          leader_is_old_self_ = r->node == platform_.node && got.item.lease != lease_;
+        }
+      }
+      fresh = true;
+    }
+    const bool vacant = !leader_stamp_ || leader_is_old_self_;
+    if (vacant && loop_.now() >= not_before_) co_return;
+    const Millis block =
+        vacant ? std::clamp(to_millis(not_before_ - loop_.now()), Millis(50), kWatchBlock)
+               : kWatchBlock;
+    state::WatchResult w =
+        co_await state_.watch(std::string(wire::kLeaderKey), revision_, block);
+    if (w.outcome != http::Outcome::ok) {
+      fresh = false;
+      co_await loop_.sleep(kRetry);
+      continue;
+    }
+    if (w.too_old) {
+      fresh = false;
+      continue;
+    }
+    revision_ = std::max(revision_, w.revision);
+    for (const auto& c : w.changes) {
+      if (c.key != wire::kLeaderKey) continue;
+      leader_is_old_self_ = false;
+      if (c.deleted) {
+        leader_stamp_.reset();
+        known_leader_.reset();
+      } else {
+        leader_stamp_ = c.stamp;
+        if (const auto r = wire::read_leader(c.value)) {
+          heard_of(r->epoch, r->node, "the state service");
+        }
+      }
+    }
+  }
+}
+
+Task<void> Elector::campaign() {
+  // A node that cannot serve well for the moment leaves the others a head start.
+  state::LeaseResult lease = co_await state_.grant(to_millis(ttl_), kCallTime);
+  if (lease.outcome != http::Outcome::ok) {
+    co_await loop_.sleep(kRetry);
+    co_return;
+  }
+  lease_ = lease.lease;
+  state::GetResult epoch =
+      co_await state_.get(std::string(wire::kEpochKey), kCallTime, state::Importance::essential);
+  if (epoch.outcome != http::Outcome::ok) {
+    co_await loop_.sleep(kRetry);
+    co_return;
+  }
+  const uint64_t before = epoch.found ? wire::read_epoch(epoch.item.value).value_or(0) : 0;
+  const uint64_t mine = std::max(before, known_epoch_) + 1;
+  state::Txn txn;
+  txn.guards.push_back({std::string(wire::kLeaderKey), leader_stamp_.value_or(0)});
+  txn.guards.push_back({std::string(wire::kEpochKey), epoch.found ? epoch.item.stamp : 0});
+  txn.writes.push_back({std::string(wire::kLeaderKey),
+                        wire::write_leader({platform_.node, mine}), lease_});
+  txn.writes.push_back({std::string(wire::kEpochKey), wire::write_epoch(mine), 0});
+  state::TxnResult r = co_await state_.commit(txn, kCallTime, state::Importance::essential);
+  if (r.applied) {
+    win(mine, r.revision);
+    co_return;
+  }
+  if (r.outcome != http::Outcome::unknown) co_return;
+  // Nobody knows whether it went through: read back before anything else is tried. The lease bound
+  // to the key tells our own attempt from any other.
+  for (int i = 0; i < 20; ++i) {
+    state::GetResult got =
+        co_await state_.get(std::string(wire::kLeaderKey), kCallTime, state::Importance::essential);
+    if (got.outcome == http::Outcome::ok) {
+      const auto record = got.found ? wire::read_leader(got.item.value) : std::nullopt;
+      if (record && got.item.lease == lease_ && record->epoch == mine) win(mine, got.item.stamp);
+      co_return;
+    }
+    co_await loop_.sleep(kRetry);
+  }
+}
+
+Task<void> Elector::lead() {
+  const Nanos pace = ttl_ / 4;
+  while (leading_) {
+    const Instant started = loop_.now();
+    state::LeaseResult r = co_await state_.extend(lease_, kCallTime);
+    if (!leading_) break;
+    if (r.outcome == http::Outcome::ok && r.gone) {
+      // The lease ran out while the service did not serve us. If nobody took over meanwhile, the
+      // same epoch goes on under a new lease; the guard on `epoch` decides that.
+      state::LeaseResult again = co_await state_.grant(to_millis(ttl_), kCallTime);
+      if (!leading_) break;
+      if (again.outcome == http::Outcome::ok) {
+        state::Txn txn;
+        txn.guards.push_back({std::string(wire::kLeaderKey), 0});
+        txn.guards.push_back({std::string(wire::kEpochKey), reign_.epoch_stamp});
+        txn.writes.push_back({std::string(wire::kLeaderKey),
+                              wire::write_leader({platform_.node, reign_.epoch}), again.lease});
+        state::TxnResult t = co_await state_.commit(txn, kCallTime, state::Importance::essential);
+        if (!leading_) break;
+        if (t.applied) {
+          lease_ = again.lease;
+          spdlog::info("leadership: epoch {} goes on under a new lease", reign_.epoch);
+        } else if (t.outcome == http::Outcome::ok) {
+          step_down("another node took over while the state service did not serve us");
+          break;
+        } else if (t.outcome == http::Outcome::unknown) {
+          state::GetResult got = co_await state_.get(std::string(wire::kLeaderKey), kCallTime,
+                                                     state::Importance::essential);
+          if (!leading_) break;
+          if (got.outcome == http::Outcome::ok && got.found && got.item.lease == again.lease) {
+            lease_ = again.lease;
+          }
+        }
+      }
+    }
+    const Nanos wait = r.outcome == http::Outcome::ok ? pace : std::min<Nanos>(pace, Millis(300));
+    (void)co_await changed_.wait_until(std::max(started + wait, loop_.now() + Millis(20)));
+  }
+  if (resigning_) (void)co_await state_.revoke(lease_, kCallTime);
+  resigning_ = false;
+}
+
+}  // namespace dunlinknot::leadership
--- /dev/null
+++ b/src/dunlinknot/leadership/elector.hpp
@@ -0,0 +1,83 @@
+// Who leads. The key `leader` is bound to a short lease; taking it also bumps `epoch`, and the
+// epoch's number is the baton the workers see. Every transaction of a leader guards the stamp of
+// `epoch`, so whatever a former leader still has in flight fails.
+#pragma once
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "dunlinknot/settings/settings.hpp"
+#include "dunlinknot/state/client.hpp"
+
+namespace dunlinknot::leadership {
+
+struct Reign {
+  uint64_t epoch = 0;
+  uint64_t epoch_stamp = 0;
+  Instant since{};
+};
+
+// How long a leader that the state service does not serve may go on renewing the workers' leases:
+// a cancellation it cannot hear of must still be over on every machine within cancel_s.
+Nanos blind_window(const settings::Platform& p);
+// The time after which a worker that was last answered at `t` has certainly killed its tasks.
+Nanos lease_bound(const settings::Platform& p);
+
+class Elector {
+ public:
+  struct Hooks {
+    std::function<void(const Reign&)> gained;
+    std::function<void(uint64_t epoch, std::string_view why)> lost;
+  };
+  Elector(Loop& loop, state::Client& state, const settings::Platform& platform, Nanos ttl,
+          Hooks hooks);
+
+  Task<void> run();
+
+  bool leading() const { return leading_; }
+  const Reign& reign() const { return reign_; }
+  // The highest epoch heard of, and who leads it, if known.
+  uint64_t known_epoch() const { return known_epoch_; }
+  const std::optional<std::string>& known_leader() const { return known_leader_; }
+
+  // News of a leadership from elsewhere: a peer, a worker's token, a failed guard.
+  void heard_of(uint64_t epoch, std::optional<std::string> leader, std::string_view from);
+  // Gives the leadership up so that another node may take it; stays out of the race for a while.
+  void resign(std::string_view why);
+
+  // When the last request was sent that the state service served.
+  Instant last_served() const { return state_.last_served_sent(); }
+  // Served by the state service recently enough to start work.
+  bool may_start() const;
+  // May still renew the workers' leases. `common_silence`: until when all peers confirmed that the
+  // state service served nobody since we lost it.
+  bool may_renew(std::optional<Instant> common_silence) const;
+
+ private:
+  Task<void> follow();
+  Task<void> campaign();
+  Task<void> lead();
+  void step_down(std::string_view why);
+  void win(uint64_t epoch, uint64_t stamp);
+
+  Loop& loop_;
+  state::Client& state_;
+  const settings::Platform& platform_;
+  Nanos ttl_;
+  Hooks hooks_;
+  Nanos blind_;
+
+  bool leading_ = false;
+  Reign reign_;
+  uint64_t lease_ = 0;
+  uint64_t known_epoch_ = 0;
+  std::optional<std::string> known_leader_;
+  std::optional<uint64_t> leader_stamp_;  // of the key, when it exists
+  bool leader_is_old_self_ = false;
+  uint64_t revision_ = 0;
+  Instant not_before_{};
+  bool resigning_ = false;
+  Signal changed_;
+};
+
+}  // namespace dunlinknot::leadership
--- /dev/null
+++ b/src/dunlinknot/leadership/peers.cpp
@@ -0,0 +1,168 @@
+#include "dunlinknot/leadership/peers.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <array>
+
+namespace dunlinknot::leadership {
+
+namespace {
+constexpr auto kPace = Millis(500);
+constexpr auto kAnswerTime = Millis(1500);
+constexpr auto kFresh = Millis(2500);
+constexpr auto kRedial = Millis(1000);
+constexpr auto kIdle = std::chrono::seconds(10);
+constexpr size_t kMaxServed = 32;
+}  // namespace
+
+using wire::peer::Kind;
+using wire::peer::Status;
+
+Peers::Peers(Loop& loop, const settings::Platform& platform, Hooks hooks)
+    : loop_(loop), platform_(platform), hooks_(std::move(hooks)) {
+  for (const auto& p : platform.peers) links_[p.node].peer = p;
+}
+
+void Peers::start() {
+  listener_.emplace(loop_, platform_.back);
+  loop_.spawn(listen());
+  for (auto& [name, link] : links_) loop_.spawn(dial(link));
+}
+
+std::optional<Instant> Peers::common_silence(Instant since) const {
+  Instant until = Instant::max();
+  if (links_.empty()) return std::nullopt;
+  for (const auto& [name, link] : links_) {
+    // A peer that began after `since` cannot speak for the process before it.
+    if (!link.last || link.confirmed_to < since) return std::nullopt;
+    if (link.heard_at - link.last->up > since) return std::nullopt;
+    if (link.last->state_known && link.heard_at - link.last->state_silent > since) {
+      return std::nullopt;
+    }
+    until = std::min(until, link.confirmed_to);
+  }
+  return until;
+}
+
+bool Peers::any_served() const {
+  const Instant now = loop_.now();
+  for (const auto& [name, link] : links_) {
+    if (link.last && now - link.heard_at < kFresh && link.last->state_known &&
+        link.last->state_silent < Millis(1500)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool Peers::any_beats() const {
+  const Instant now = loop_.now();
+  for (const auto& [name, link] : links_) {
+    if (link.last && now - link.heard_at < kFresh && link.last->beats_known &&
+        link.last->beats_silent < Millis(2000)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool Peers::any_heard() const {
+  const Instant now = loop_.now();
+  for (const auto& [name, link] : links_) {
+    if (link.last && now - link.heard_at < kFresh) return true;
+  }
+  return false;
+}
+
+void Peers::take_status(const Status& s) {
+  const auto it = links_.find(s.node);
+  if (it != links_.end()) it->second.last_seen_seq = s.seq;
+  hooks_.heard(s);
+}
+
+Task<std::optional<std::pair<Kind, std::string>>> Peers::read_frame(http::Socket& socket,
+                                                                    Instant deadline) {
+  std::string bytes;
+  std::array<char, 512> chunk;
+  std::optional<wire::peer::Header> header;
+  size_t want = wire::peer::kHeaderBytes;
+  while (bytes.size() < want) {
+    const ssize_t n = co_await socket.read_some(
+        chunk.data(), std::min(chunk.size(), want - bytes.size()), deadline);
+    if (n <= 0) co_return std::nullopt;
+    bytes.append(chunk.data(), static_cast<size_t>(n));
+    if (!header && bytes.size() == wire::peer::kHeaderBytes) {
+      header = wire::peer::read_header(bytes);
+      if (!header) {
+        spdlog::info("a peer sent a frame of another version or none of ours; connection closed");
+        co_return std::nullopt;
+      }
+      want += header->length;
+    }
+  }
+  co_return std::pair{header->kind, bytes.substr(wire::peer::kHeaderBytes)};
+}
+
+Task<void> Peers::listen() {
+  for (;;) {
+    http::Socket s = co_await listener_->accept();
+    if (served_ < kMaxServed) loop_.spawn(serve(std::move(s)));
+  }
+}
+
+// Answers a peer's statuses with our own.
+Task<void> Peers::serve(http::Socket socket) {
+  ++served_;
+  struct Done {
+    size_t& n;
+    ~Done() { --n; }
+  } done{served_};
+  for (;;) {
+    const Instant deadline = loop_.now() + kIdle;
+    const auto frame = co_await read_frame(socket, deadline);
+    if (!frame) co_return;
+    if (frame->first == Kind::progress) {
+      if (const auto p = wire::peer::read_progress(frame->second)) hooks_.told(*p);
+      continue;
+    }
+    const auto s = wire::peer::read_status(frame->second);
+    if (!s) co_return;
+    take_status(*s);
+    Status mine = hooks_.status();
+    mine.echo = s->seq;
+    const std::string bytes = wire::peer::write_status(mine);
+    const Instant write_by = loop_.now() + kAnswerTime;
+    if (!co_await socket.write_all(bytes, write_by)) co_return;
+  }
+}
+
+// Keeps one connection to a peer, with a status every half second.
+Task<void> Peers::dial(Link& link) {
+  for (;;) {
+    const Instant connect_by = loop_.now() + kAnswerTime;
+    http::Socket socket = co_await http::Socket::connect(loop_, link.peer.address, connect_by);
+    while (socket.open()) {
+      const Instant sent = loop_.now();
+      Status mine = hooks_.status();
+      mine.seq = ++link.seq;
+      std::string bytes = wire::peer::write_status(mine);
+      const wire::peer::Progress progress = hooks_.progress();
+      if (!progress.entries.empty()) bytes += wire::peer::write_progress(progress);
+      const Instant answer_by = sent + kAnswerTime;
+      if (!co_await socket.write_all(bytes, answer_by)) break;
+      const auto frame = co_await read_frame(socket, answer_by);
+      if (!frame || frame->first != Kind::status) break;
+      const auto s = wire::peer::read_status(frame->second);
+      if (!s || s->node != link.peer.node || s->echo != link.seq) break;
+      link.last = *s;
+      link.heard_at = loop_.now();
+      link.confirmed_to = sent;
+      take_status(*s);
+      co_await loop_.sleep_until(sent + kPace);
+    }
+    socket.close();
+    co_await loop_.sleep(kRedial);
+  }
+}
+
+}  // namespace dunlinknot::leadership
--- /dev/null
+++ b/src/dunlinknot/node/daemon.cpp
@@ -0,0 +1,326 @@
+#include "dunlinknot/node/daemon.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace dunlinknot::node {
+
+namespace {
+
+using cluster::Host;
+using cluster::Job;
+using cluster::Needs;
+using cluster::Picture;
+using http::Outcome;
+using http::Response;
+
+constexpr auto kTick = Millis(500);
+constexpr auto kNoBeats = std::chrono::seconds(5);
+constexpr auto kStateSilent = Millis(2500);
+constexpr double kBudgetShare = 0.6;  // of the state service's limits, for one node
+
+}  // namespace
+
+Daemon::Daemon(Loop& loop, const settings::Platform& platform, const settings::Operator& op,
+               http::Transport& transport, uint32_t seed)
+    : loop_(loop),
+      platform_(platform),
+      op_(op),
+      began_(loop.now()),
+      state_(loop, transport, platform.state, platform.state_rps * kBudgetShare,
+             platform.state_write_rps * kBudgetShare),
+      cloud_(loop, transport, platform.cloud, platform.cloud_rps),
+      domain_(loop, platform, op),
+      elector_(loop, state_, platform, to_nanos(op.leader_ttl),
+               {[this](const leadership::Reign& r) { gained(r); },
+                [this](uint64_t epoch, std::string_view) { lost(epoch); }}),
+      peers_(loop, platform,
+             {[this] { return status(); },
+              [this](const wire::peer::Status& s) {
+                elector_.heard_of(s.epoch,
+                                  s.leader.empty() ? std::nullopt : std::optional(s.leader), s.node);
+              },
+              [this] { return progress(); },
+              [this](const wire::peer::Progress& p) {
+                if (!elector_.leading()) jobs_.progress().replace(p);
+              }}),
+      jobs_(loop, state_, platform, op, seed),
+      workers_(domain_, elector_, peers_, transport),
+      ledger_(domain_, state_,
+              {[this](std::string_view why) {
+                 elector_.heard_of(domain_.epoch + 1, std::nullopt, why);
+               },
+               [this](const std::string& id, uint32_t tasks) {
+                 jobs_.finals().put(id, {false, tasks});
+               }}),
+      fleet_(domain_, cloud_) {}
+
+void Daemon::start() {
+  http::ServerOptions options;
+  options.max_connections = platform_.max_connections * 3 / 4;
+  server_ = std::make_unique<http::Server>(
+      loop_, platform_.listen, options,
+      [this](http::Request r) { return handle(std::move(r)); });
+  loop_.spawn(server_->serve());
+  peers_.start();
+  loop_.spawn(learn_catalog());
+  loop_.spawn(elector_.run());
+  loop_.spawn(report_counts());
+}
+
+Task<Response> Daemon::handle(http::Request request) {
+  const std::string_view path = std::string_view(request.target).substr(0, request.target.find('?'));
+  const bool get = request.method == "GET";
+  const bool post = request.method == "POST";
+  Response out;
+  if (path == "/agent/beat") {
+    if (post) co_return co_await workers_.beat(std::move(request.body));
+    out.status = 405;
+  } else if (path == "/ready") {
+    out.status = !get ? 405 : ready() ? 200 : 503;
+    if (out.status == 503) out.retry_after_s = 1;
+  } else if (path == "/v1/jobs") {
+    if (post) co_return co_await jobs_.submit(std::move(request.body));
+    out.status = 405;
+  } else if (path.starts_with("/v1/jobs/")) {
+    std::string_view id = path.substr(9);
+    constexpr std::string_view withdraw = "/withdraw";
+    if (id.ends_with(withdraw)) {
+      id.remove_suffix(withdraw.size());
+      if (post) co_return co_await jobs_.withdraw(std::string(id));
+      out.status = 405;
+    } else if (get) {
+      co_return co_await jobs_.poll(std::string(id));
+    } else {
+      out.status = 405;
+    }
+  } else {
+    out.status = 404;
+  }
+  co_return out;
+}
+
+// Not ready: machine types unknown yet, or the state service serves our peers but not us. When it
+// serves nobody, being taken off the load balancer would only cost time afterwards.
+bool Daemon::ready() const {
+  if (!jobs_.catalog_known() || !state_.ever_served()) return false;
+  if (loop_.now() - state_.last_served() < kStateSilent) return true;
+  return !peers_.any_served();
+}
+
+wire::peer::Status Daemon::status() const {
+  const Instant now = loop_.now();
+  wire::peer::Status s;
+  s.node = platform_.node;
+  s.epoch = elector_.known_epoch();
+  s.leader = elector_.known_leader().value_or("");
+  s.up = to_millis(now - began_);
+  s.state_known = state_.ever_served();
+  if (s.state_known) s.state_silent = to_millis(now - state_.last_served());
+  s.beats_known = workers_.ever_beaten();
+  if (s.beats_known) s.beats_silent = to_millis(now - workers_.last_beat());
+  s.leading = elector_.leading();
+  return s;
+}
+
+wire::peer::Progress Daemon::progress() {
+  wire::peer::Progress p;
+  if (!elector_.leading() || !domain_.loaded) return p;
+  p.epoch = domain_.epoch;
+  domain_.picture.with([&](Picture& pic) {
+    for (const auto& [id, j] : pic.cluster.jobs()) {
+      if (p.entries.size() >= wire::peer::kMaxEntries) break;
+      if (j->done_count() > 0 || j->running > 0) p.entries.push_back({id, j->done_count(), j->running});
+    }
+  });
+  return p;
+}
+
+// Every node needs the machine types to tell a job that can run from one that never can. They come
+// from the cloud, or, while that is in trouble, from what a leader wrote down.
+Task<void> Daemon::learn_catalog() {
+  while (catalog_.empty()) {
+    state::GetResult got = co_await state_.get(std::string(wire::kCatalogKey), Millis(800));
+    std::optional<std::vector<MachineType>> types;
+    if (got.outcome == Outcome::ok && got.found) types = wire::read_catalog(got.item.value);
+    if (!types) types = co_await cloud_.catalog();
+    if (types) {
+      catalog_ = std::move(*types);
+    } else {
+      co_await loop_.sleep(Millis(700));
+    }
+  }
+  jobs_.set_catalog(catalog_);
+  if (elector_.leading()) {
+    domain_.picture.with([&](Picture& p) {
+      if (p.cluster.catalog().empty()) p.cluster.set_catalog(catalog_);
+    });
+    domain_.schedule.notify();
+  }
+}
+
+// The leader writes the machine types down once, for nodes that start while the cloud is away.
+Task<void> Daemon::keep_catalog(uint64_t reign) {
+  while (domain_.in_reign(reign)) {
+    if (!catalog_.empty()) {
+      state::Txn txn;
+      txn.guards.push_back({std::string(wire::kEpochKey), domain_.epoch_stamp});
+      txn.guards.push_back({std::string(wire::kCatalogKey), 0});
+      txn.writes.push_back({std::string(wire::kCatalogKey), wire::write_catalog(catalog_), 0});
+      state::TxnResult r = co_await state_.commit(std::move(txn), std::chrono::seconds(1));
+      if (r.outcome == Outcome::ok) co_return;
+    }
+    co_await loop_.sleep(std::chrono::seconds(5));
+  }
+}
+
+void Daemon::gained(const leadership::Reign& reign) {
+  ++domain_.reign;
+  domain_.epoch = reign.epoch;
+  domain_.epoch_stamp = reign.epoch_stamp;
+  domain_.loaded = false;
+  domain_.picture.with([&](Picture& p) {
+    p.cluster.begin_reign(reign.epoch, loop_.now());
+    p.cluster.set_catalog(catalog_);
+    p.nominations.clear();
+  });
+  fleet_.begin_reign();
+  loop_.spawn(take_over(domain_.reign));
+}
+
+void Daemon::lost(uint64_t) {
+  domain_.epoch = 0;
+  domain_.loaded = false;
+  ++domain_.reign;
+  // Whoever waits for a signal wakes up, sees that its reign is over and ends.
+  for (Signal* s : {&domain_.schedule, &domain_.store_hosts, &domain_.store_done, &domain_.stops,
+                    &domain_.rentals}) {
+    s->notify();
+  }
+}
+
+Task<void> Daemon::take_over(uint64_t reign) {
+  const Instant started = loop_.now();
+  if (!co_await ledger_.load(reign)) co_return;
+  domain_.loaded = true;
+  const auto [jobs, hosts, bookings] = domain_.picture.with([](Picture& p) {
+    return std::tuple(p.cluster.jobs().size(), p.cluster.hosts().size(), p.cluster.booking_count());
+  });
+  spdlog::info("take-over of epoch {} done in {} ms: {} open jobs, {} machines with bookings, {} bookings",
+               domain_.epoch, to_millis(loop_.now() - started).count(), jobs, hosts, bookings);
+  loop_.spawn(ledger_.watch_jobs(reign));
+  loop_.spawn(ledger_.store_hosts(reign));
+  loop_.spawn(ledger_.store_done(reign));
+  loop_.spawn(workers_.call_stops(reign));
+  loop_.spawn(fleet_.work(reign));
+  loop_.spawn(fleet_.watch_machines(reign));
+  loop_.spawn(rounds(reign));
+  loop_.spawn(keep_catalog(reign));
+}
+
+Task<void> Daemon::rounds(uint64_t reign) {
+  const Instant began = loop_.now();
+  Instant next_tick = began;
+  while (domain_.in_reign(reign)) {
+    (void)co_await domain_.schedule.wait_until(next_tick);
+    if (!domain_.in_reign(reign)) co_return;
+    const Instant now = loop_.now();
+    if (now >= next_tick) {
+      next_tick = now + kTick;
+      Needs needs = domain_.picture.with([&](Picture& p) {
+        Needs n = p.cluster.expire(now);
+        n |= p.cluster.tick(now);
+        return n;
+      });
+      domain_.follow_up(needs);
+      // Cut off from the workers while they reach our peers: another node can serve them.
+      const Instant heard = std::max(workers_.last_own_beat(), began);
+      if (now - heard > kNoBeats && peers_.any_beats()) {
+        elector_.resign("no worker reaches this node, but they reach others");
+        co_return;
+      }
+    }
+    if (elector_.may_start()) one_round(now);
+    co_await loop_.sleep(to_nanos(op_.round_pause));
+  }
+}
+
+void Daemon::one_round(Instant now) {
+  const scheduler::Plan plan = domain_.picture.with([&](Picture& p) {
+    p.nominations.settle(p.cluster);
+    scheduler::Market market = fleet_.market(now);
+    market.machines = p.cluster.hosts().size();
+    return scheduler::plan(p.cluster, p.nominations, market, platform_, op_, loop_.wall(), now);
+  });
+  apply(plan, now);
+  fleet_.order(plan.wishes);
+  fleet_.sweep(plan.wanted, plan.waiting_tasks, now);
+}
+
+void Daemon::apply(const scheduler::Plan& plan, Instant now) {
+  bool booked = false;
+  domain_.picture.with([&](Picture& p) {
+    for (const uint64_t id : plan.cleared) p.nominations.end(id, preemption::End::cleared);
+    for (const auto& x : plan.placements) {
+      for (const uint64_t id : x.ends_nominations) p.nominations.end(id, preemption::End::placed);
+      Job* j = p.cluster.job(x.job);
+      Host* h = p.cluster.host(x.host);
+      for (uint32_t i = 0; i < x.count; ++i) {
+        const auto index = j->take_pending();
+        if (!index) break;
+        p.cluster.book(*h, *j, *index, p.cluster.next_attempt(), now);
+        booked = true;
+      }
+    }
+    for (const auto& g : plan.gangs) {
+      Job* j = p.cluster.job(g.job);
+      const uint64_t attempt = p.cluster.next_attempt();
+      j->gang_go = false;
+      for (const auto& [host, n] : g.on) {
+        for (uint32_t i = 0; i < n; ++i) {
+          const auto index = j->take_pending();
+          if (!index) break;
+          p.cluster.book(*p.cluster.host(host), *j, *index, attempt, now);
+          booked = true;
+        }
+      }
+    }
+    for (const auto& e : plan.evictions) {
+      if (e.renews) p.nominations.end(e.renews, preemption::End::renominated);
+      Host* h = p.cluster.host(e.host);
+      std::string names;
+      for (const auto& v : e.victims) {
+        cluster::Booking* b = h->find(v.task, v.attempt);
+        if (!b || b->stopping()) continue;
+        const Job* vj = p.cluster.job(v.task.job);
+        const bool saves = vj && vj->spec().checkpoint > Seconds(0);
+        p.cluster.stop(*h, *b, cluster::StopReason::preempted,
+                       saves ? vj->spec().save + Seconds(1) : Seconds(0), now);
+        names += " " + v.task.text();
+      }
+      p.nominations.add(e.job, e.host, e.room, e.priority, e.victims);
+      ++evictions_;
+      spdlog::info("evicting on {} for {} (room {} cpus, {} gpus, {} GB):{}", e.host, e.job,
+                   e.room.cpus, e.room.gpus, e.room.memory_gb, names);
+    }
+  });
+  if (booked) domain_.store_hosts.notify();
+  if (!plan.evictions.empty()) domain_.stops.notify();
+}
+
+// Refusals and the like are counted, not told one by one.
+Task<void> Daemon::report_counts() {
+  uint64_t accepted = 0, refused = 0, throttled = 0, away = 0, evictions = 0;
+  for (;;) {
+    co_await loop_.sleep(std::chrono::seconds(30));
+    const uint64_t a = jobs_.accepted(), r = jobs_.refused(), t = state_.throttled(),
+                   w = server_ ? server_->turned_away() : 0, e = evictions_;
+    spdlog::info(
+        "last 30 s: {} accepted, {} put off, {} state calls over budget, {} connections turned away, "
+        "{} evictions; {} connections open",
+        a - accepted, r - refused, t - throttled, w - away, e - evictions,
+        server_ ? server_->connections() : 0);
+    accepted = a, refused = r, throttled = t, away = w, evictions = e;
+  }
+}
+
+}  // namespace dunlinknot::node
--- /dev/null
+++ b/src/dunlinknot/node/daemon.hpp
@@ -0,0 +1,57 @@
+// One controller: all parts together, and the leader's rounds.
+#pragma once
+#include <memory>
+
+#include "dunlinknot/cloud/client.hpp"
+#include "dunlinknot/cluster/ledger.hpp"
+#include "dunlinknot/fleet/fleet.hpp"
+#include "dunlinknot/http/server.hpp"
+#include "dunlinknot/jobs/desk.hpp"
+#include "dunlinknot/leadership/elector.hpp"
+#include "dunlinknot/leadership/peers.hpp"
+#include "dunlinknot/workers/desk.hpp"
+
+namespace dunlinknot::node {
+
+class Daemon {
+ public:
+  Daemon(Loop& loop, const settings::Platform& platform, const settings::Operator& op,
+         http::Transport& transport, uint32_t seed);
+  // Opens the listening sockets; throws when that fails.
+  void start();
+
+  Task<http::Response> handle(http::Request request);
+
+ private:
+  void gained(const leadership::Reign& reign);
+  void lost(uint64_t epoch);
+  Task<void> take_over(uint64_t reign);
+  Task<void> rounds(uint64_t reign);
+  void one_round(Instant now);
+  void apply(const scheduler::Plan& plan, Instant now);
+  Task<void> learn_catalog();
+  Task<void> keep_catalog(uint64_t reign);
+  Task<void> report_counts();
+  bool ready() const;
+  wire::peer::Status status() const;
+  wire::peer::Progress progress();
+
+  Loop& loop_;
+  const settings::Platform& platform_;
+  const settings::Operator& op_;
+  Instant began_;
+  state::Client state_;
+  cloud::Client cloud_;
+  cluster::Domain domain_;
+  leadership::Elector elector_;
+  leadership::Peers peers_;
+  jobs::Desk jobs_;
+  workers::Desk workers_;
+  cluster::Ledger ledger_;
+  fleet::Fleet fleet_;
+  std::vector<MachineType> catalog_;
+  std::unique_ptr<http::Server> server_;
+  uint64_t evictions_ = 0;
+};
+
+}  // namespace dunlinknot::node
--- /dev/null
+++ b/src/dunlinknot/preemption/fit.cpp
@@ -0,0 +1,136 @@
+#include "dunlinknot/preemption/fit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dunlinknot::preemption {
+
+namespace {
+
+bool on_list(const std::vector<Victim>* list, const cluster::Booking& b) {
+  return list && std::any_of(list->begin(), list->end(), [&](const Victim& v) {
+    return v.attempt == b.attempt && v.task == b.task;
+  });
+}
+
+bool exceeds(const Resources& beyond, const Resources& need) {
+  // Only what the team has beyond its guarantee may go, and it must have some of what is taken.
+  return (need.cpus > 0 && beyond.cpus + Resources::kSlack >= need.cpus) ||
+         (need.gpus > 0 && beyond.gpus + Resources::kSlack >= need.gpus);
+}
+
+}  // namespace
+
+Room::Room(const cluster::Host& host, const Nominations& nominations, const Resources& size)
+    : host_(&host), free_(size - host.used) {
+  if (const auto* list = nominations.victims_on(host.id)) {
+    for (const auto& b : host.bookings) {
+      if (on_list(list, b)) victims_ += b.need;
+    }
+  }
+  for (const auto& [id, n] : nominations.all()) {
+    if (n.host == host.id) holds_.push_back({id, n.room, n.priority});
+  }
+}
+
+bool Room::fits(const Resources& need, Priority priority, uint64_t except,
+                const Resources& removed, const Resources& removed_victims) const {
+  const Resources plain = free_ + removed;
+  if (!need.fits_in(plain)) return false;  // pass 2: without the holds
+  Resources held;
+  bool any = false;
+  for (const Hold& h : holds_) {
+    if (h.id == except || h.priority < priority) continue;
+    held += h.room;
+    any = true;
+  }
+  if (!any) return true;
+  // Pass 1: victims that are still booked are subtracted (each once: those the simulation removed
+  // already are not subtracted again), the holds are added.
+  return need.fits_in(plain + (victims_ - removed_victims) - held);
+}
+
+uint32_t Room::count(const Resources& need, Priority priority, uint32_t most) const {
+  Room trial = *this;
+  uint32_t n = 0;
+  while (n < most && trial.fits(need, priority)) {
+    trial.take(need);
+    ++n;
+  }
+  return n;
+}
+
+void Room::end_hold(uint64_t id) {
+  std::erase_if(holds_, [&](const Hold& h) { return h.id == id; });
+}
+
+double lost_work(const cluster::Booking& b, const cluster::Job* job, Instant now) {
+  if (b.running_since == Instant{}) return 0;
+  const double ran = std::max(0.0, to_seconds(now - b.running_since).count());
+  const double weight = std::max({b.need.cpus, b.need.gpus * 8, 0.1});
+  if (job && job->spec().checkpoint > Seconds(0)) return job->spec().save.count() * weight;
+  return ran * weight;
+}
+
+std::optional<Candidate> simulate(const Room& room, const Nominations& nominations,
+                                  const cluster::Cluster& cluster, const Resources& need,
+                                  uint64_t except, const Eligibility& who, Instant now) {
+  const cluster::Host& h = room.host();
+  const auto* list = nominations.victims_on(h.id);
+  struct Item {
+    size_t index;
+    bool listed;
+    double lost;
+  };
+  std::vector<Item> removable;
+  Resources removed, removed_victims;
+  std::vector<Resources> beyond;
+  if (who.beyond) beyond = *who.beyond;
+  for (size_t i = 0; i < h.bookings.size(); ++i) {
+    const cluster::Booking& b = h.bookings[i];
+    if (b.gang) continue;  // gangs are never victims
+    const bool listed = on_list(list, b);
+    if (b.stopping() && !listed) continue;  // leaves for another reason, on its own time
+    bool allowed = b.priority < who.priority || listed;
+    if (!allowed && who.within_guarantee && b.team >= 0 && b.team != who.team) {
+      Resources& over = beyond[static_cast<size_t>(b.team)];
+      if (exceeds(over, b.need)) {
+        over -= b.need;
+        allowed = true;
+      }
+    }
+    if (!allowed) continue;
+    removable.push_back({i, listed, lost_work(b, cluster.job(b.task.job), now)});
+    removed += b.need;
+    if (listed) removed_victims += b.need;
+  }
+  if (removable.empty()) return std::nullopt;
+  if (!room.fits(need, who.priority, except, removed, removed_victims)) return std::nullopt;
+  // Take back what need not go: higher priorities first, then what would lose most work. Tasks that
+  // are being stopped already cost nothing and stay removed.
+  std::sort(removable.begin(), removable.end(), [&](const Item& a, const Item& b) {
+    const auto& x = h.bookings[a.index];
+    const auto& y = h.bookings[b.index];
+    if (x.priority != y.priority) return x.priority > y.priority;
+    if (a.lost != b.lost) return a.lost > b.lost;
+    return a.index < b.index;
+  });
+  Candidate out;
+  for (const Item& item : removable) {
+    const cluster::Booking& b = h.bookings[item.index];
+    if (!item.listed) {
+      const Resources fewer = removed - b.need;
+      if (room.fits(need, who.priority, except, fewer, removed_victims)) {
+        removed = fewer;
+        continue;
+      }
+      out.lost_seconds += item.lost;
+    }
+    out.victims.push_back({b.task, b.attempt});
+    out.victim_indices.push_back(item.index);
+    out.highest = std::max(out.highest, static_cast<int>(b.priority));
+  }
+  return out;
+}
+
+}  // namespace dunlinknot::preemption
--- /dev/null
+++ b/src/dunlinknot/preemption/nominations.cpp
@@ -0,0 +1,90 @@
+#include "dunlinknot/preemption/nominations.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace dunlinknot::preemption {
+
+namespace {
+const char* text(End e) {
+  switch (e) {
+    case End::placed: return "placed";
+    case End::cancelled: return "cancelled";
+    case End::renominated: return "renominated";
+    case End::stop_failed: return "stop call failed";
+    case End::cleared: return "cleared on re-evaluation";
+  }
+  return "?";
+}
+}  // namespace
+
+uint64_t Nominations::add(std::string job, std::string host, Resources room, Priority priority,
+                          const std::vector<Victim>& victims) {
+  auto& list = victims_[host];
+  for (const auto& v : victims) {
+    if (std::find(list.begin(), list.end(), v) == list.end()) list.push_back(v);
+  }
+  if (list.empty()) victims_.erase(host);
+  const uint64_t id = next_++;
+  nominations_[id] = Nomination{id, std::move(job), std::move(host), room, priority};
+  return id;
+}
+
+void Nominations::end(uint64_t id, End why) {
+  const auto it = nominations_.find(id);
+  if (it == nominations_.end()) return;
+  spdlog::debug("nomination {} of {} on {} ends: {}", id, it->second.job, it->second.host,
+                text(why));
+  nominations_.erase(it);
+}
+
+void Nominations::job_closed(const std::string& job) {
+  for (const uint64_t id : of(job)) end(id, End::cancelled);
+}
+
+void Nominations::stop_failed(const std::string& host, const std::vector<Victim>& victims) {
+  const auto it = victims_.find(host);
+  if (it == victims_.end()) return;
+  bool any = false;
+  for (const auto& v : victims) any |= std::erase(it->second, v) > 0;
+  if (it->second.empty()) victims_.erase(it);
+  if (!any) return;
+  std::vector<uint64_t> ids;
+  for (const auto& [id, n] : nominations_) {
+    if (n.host == host) ids.push_back(id);
+  }
+  for (const uint64_t id : ids) end(id, End::stop_failed);
+}
+
+void Nominations::settle(const cluster::Cluster& cluster) {
+  for (auto it = victims_.begin(); it != victims_.end();) {
+    const auto h = cluster.hosts().find(it->first);
+    if (h == cluster.hosts().end()) {
+      it = victims_.erase(it);
+      continue;
+    }
+    std::erase_if(it->second, [&](const Victim& v) { return !h->second->find(v.task, v.attempt); });
+    it = it->second.empty() ? victims_.erase(it) : std::next(it);
+  }
+}
+
+void Nominations::clear() {
+  nominations_.clear();
+  victims_.clear();
+}
+
+std::vector<uint64_t> Nominations::of(const std::string& job) const {
+  std::vector<uint64_t> ids;
+  for (const auto& [id, n] : nominations_) {
+    if (n.job == job) ids.push_back(id);
+  }
+  return ids;
+}
+
+const std::vector<Victim>* Nominations::victims_on(const std::string& host) const {
+  const auto it = victims_.find(host);
+  return it == victims_.end() ? nullptr : &it->second;
+}
+
+}  // namespace dunlinknot::preemption
--- /dev/null
+++ b/src/dunlinknot/preemption/nominations.hpp
@@ -0,0 +1,56 @@
+// The two records of a preemption, both in memory only (KEP-5690, "Claim nomination"):
+//   per preemptor, a nomination: the machine and the exact room found for it;
+//   per machine, the victims that are still booked there.
+// A nomination ends on placement, cancellation, renomination or a failed stop call, and by nothing
+// else: there is no timer. The victim list outlives the nomination until its victims are gone.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dunlinknot/cluster/cluster.hpp"
+
+namespace dunlinknot::preemption {
+
+struct Nomination {
+  uint64_t id = 0;
+  std::string job;
+  std::string host;
+  Resources room;
+  Priority priority = Priority::low;
+};
+
+struct Victim {
+  TaskRef task;
+  uint64_t attempt = 0;
+  auto operator<=>(const Victim&) const = default;
+};
+
+enum class End { placed, cancelled, renominated, stop_failed, cleared };
+
+class Nominations {
+ public:
+  uint64_t add(std::string job, std::string host, Resources room, Priority priority,
+               const std::vector<Victim>& victims);
+  void end(uint64_t id, End why);
+  void job_closed(const std::string& job);
+  // The stop call for these victims failed: the nominations on that machine are cleared and the
+  // victims taken off the list, so that preemption can be tried again.
+  void stop_failed(const std::string& host, const std::vector<Victim>& victims);
+  // Takes victims that are no longer booked off the lists.
+  void settle(const cluster::Cluster& cluster);
+  void clear();  // a take-over starts with none
+
+  const std::map<uint64_t, Nomination>& all() const { return nominations_; }
+  std::vector<uint64_t> of(const std::string& job) const;
+  const std::vector<Victim>* victims_on(const std::string& host) const;
+  bool settling(const std::string& host) const { return victims_on(host) != nullptr; }
+
+ private:
+  uint64_t next_ = 1;
+  std::map<uint64_t, Nomination> nominations_;
+  std::map<std::string, std::vector<Victim>> victims_;
+};
+
+}  // namespace dunlinknot::preemption
--- /dev/null
+++ b/src/dunlinknot/runtime/budget.hpp
@@ -0,0 +1,45 @@
+// A request budget: so many a second, with bursts. A caller either takes its share or is told when
+// to come back; nothing queues in here.
+#pragma once
+#include <algorithm>
+
+#include "dunlinknot/runtime/clock.hpp"
+
+namespace dunlinknot {
+
+class Budget {
+ public:
+  Budget(double per_second, double burst) : rate_(per_second), burst_(burst), level_(burst) {}
+
+  bool take(Instant now, double n = 1) {
+    refill(now);
+    if (level_ < n) return false;
+    level_ -= n;
+    return true;
+  }
+  // Takes even into debt: for what may not be put off (lease renewals).
+  void force(Instant now, double n = 1) {
+    refill(now);
+    level_ -= n;
+  }
+  Nanos until(Instant now, double n = 1) {
+    refill(now);
+    return level_ >= n ? Nanos(0) : to_nanos(Seconds((n - level_) / rate_));
+  }
+  double level(Instant now) {
+    refill(now);
+    return level_;
+  }
+
+ private:
+  void refill(Instant now) {
+    if (last_ != Instant{}) level_ = std::min(burst_, level_ + rate_ * to_seconds(now - last_).count());
+    last_ = now;
+  }
+  double rate_;
+  double burst_;
+  double level_;
+  Instant last_{};
+};
+
+}  // namespace dunlinknot
--- /dev/null
+++ b/src/dunlinknot/runtime/loop.cpp
@@ -0,0 +1,145 @@
+#include "dunlinknot/runtime/loop.hpp"
+
+#include <spdlog/spdlog.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <stdexcept>
+
+namespace dunlinknot {
+
+namespace {
+
+// The outermost frame of a spawned coroutine: it starts at once, owns the task and frees itself.
+struct Detached {
+  struct promise_type {
+    Detached get_return_object() { return {}; }
+    std::suspend_never initial_suspend() noexcept { return {}; }
+    std::suspend_never final_suspend() noexcept { return {}; }
+    void return_void() {}
+    void unhandled_exception() { std::terminate(); }
+  };
+};
+
+Detached run_detached(Task<void> task) {
+  try {
+    co_await task;
+  } catch (const std::exception& e) {
+    spdlog::error("a background task ended with an exception: {}", e.what());
+  }
+}
+
+}  // namespace
+
+Loop::Loop(Clock& clock, bool with_epoll) : clock_(clock) {
+  if (with_epoll) {
+    epoll_ = ::epoll_create1(EPOLL_CLOEXEC);
+    if (epoll_ < 0) throw std::runtime_error("epoll_create1 failed");
+  }
+}
+
+Loop::~Loop() {
+  if (epoll_ >= 0) ::close(epoll_);
+}
+
+void Loop::spawn(Task<void> task) { run_detached(std::move(task)); }
+
+void Loop::arm(Waiter& w) {
+  if (w.deadline != Instant::max()) {
+    w.timed = true;
+    timers_.emplace(w.deadline, &w);
+  }
+}
+
+void Loop::disarm(Waiter& w) {
+  if (w.timed) {
+    timers_.erase({w.deadline, &w});
+    w.timed = false;
+  }
+}
+
+void Loop::wake(Waiter& w, bool timed_out) {
+  disarm(w);
+  if (w.slot) *w.slot = nullptr;
+  w.slot = nullptr;
+  w.timed_out = timed_out;
+  ready_.push_back(w.handle);
+}
+
+void Loop::Sleep::await_suspend(std::coroutine_handle<> h) {
+  waiter.handle = h;
+  loop.arm(waiter);
+}
+
+void Loop::Io::await_suspend(std::coroutine_handle<> h) {
+  waiter.handle = h;
+  FdSlots& slots = loop.fds_[static_cast<size_t>(fd)];
+  waiter.slot = write ? &slots.writer : &slots.reader;
+  *waiter.slot = &waiter;
+  loop.arm(waiter);
+}
+
+void Loop::watch_fd(int fd) {
+  if (fds_.size() <= static_cast<size_t>(fd)) fds_.resize(static_cast<size_t>(fd) + 1);
+  fds_[static_cast<size_t>(fd)] = FdSlots{};
+  epoll_event ev{};
+  ev.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  ev.data.fd = fd;
+  ::epoll_ctl(epoll_, EPOLL_CTL_ADD, fd, &ev);
+}
+
+void Loop::forget_fd(int fd) {
+  FdSlots& s = fds_[static_cast<size_t>(fd)];
+  if (s.reader) wake(*s.reader, true);
+  if (s.writer) wake(*s.writer, true);
+  ::epoll_ctl(epoll_, EPOLL_CTL_DEL, fd, nullptr);
+}
+
+void Loop::run_ready() {
+  while (!ready_.empty() && !stopping_) {
+    auto h = ready_.front();
+    ready_.pop_front();
+    h.resume();
+  }
+}
+
+Instant Loop::next_timer() const {
+  return timers_.empty() ? Instant::max() : timers_.begin()->first;
+}
+
+void Loop::fire_due() {
+  const Instant t = now();
+  while (!timers_.empty() && timers_.begin()->first <= t) wake(*timers_.begin()->second, true);
+}
+
+void Loop::poll_io() {
+  int timeout = -1;
+  if (!ready_.empty()) {
+    timeout = 0;
+  } else if (const Instant next = next_timer(); next != Instant::max()) {
+    const auto left = std::chrono::ceil<Millis>(next - now()).count();
+    timeout = static_cast<int>(std::clamp<long long>(left, 0, 60'000));
+  }
+  std::array<epoll_event, 64> events;
+  const int n = ::epoll_wait(epoll_, events.data(), static_cast<int>(events.size()), timeout);
+  for (int i = 0; i < n; ++i) {
+    FdSlots& s = fds_[static_cast<size_t>(events[static_cast<size_t>(i)].data.fd)];
+    const auto flags = events[static_cast<size_t>(i)].events;
+    if (s.reader && (flags & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))) wake(*s.reader, false);
+    if (s.writer && (flags & (EPOLLOUT | EPOLLHUP | EPOLLERR))) wake(*s.writer, false);
+  }
+}
+
+void Loop::run() {
+  while (!stopping_) {
+    run_ready();
+    if (stopping_) break;
+    poll_io();
+    fire_due();
+  }
+}
+
+}  // namespace dunlinknot
--- /dev/null
+++ b/src/dunlinknot/runtime/loop.hpp
@@ -0,0 +1,136 @@
+// The event loop: coroutines, timers and sockets on epoll, all on one thread. With a test's clock
+// it runs without epoll: the test advances time by hand and nothing ever really sleeps.
+#pragma once
+#include <coroutine>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "dunlinknot/runtime/clock.hpp"
+#include "dunlinknot/runtime/task.hpp"
+
+namespace dunlinknot {
+
+class Loop {
+ public:
+  // One suspended coroutine, waiting for a time, for a socket, for a signal, or for several.
+  struct Waiter {
+    std::coroutine_handle<> handle;
+    Instant deadline = Instant::max();
+    bool timed_out = false;
+    bool timed = false;
+    Waiter** slot = nullptr;  // the place that refers to this waiter, cleared on resume
+  };
+
+  explicit Loop(Clock& clock, bool with_epoll = true);
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  Instant now() const { return clock_.now(); }
+  WallTime wall() const { return clock_.wall(); }
+
+  // Runs a coroutine on its own. An exception that escapes one is logged and ends only that one.
+  void spawn(Task<void> task);
+  void post(std::coroutine_handle<> h) { ready_.push_back(h); }
+
+  struct [[nodiscard]] Sleep {
+    Loop& loop;
+    Waiter waiter;
+    bool await_ready() const { return false; }
+    void await_suspend(std::coroutine_handle<> h);
+    void await_resume() const {}
+  };
+  Sleep sleep_until(Instant t) { return Sleep{*this, Waiter{{}, t, false, false, nullptr}}; }
+  Sleep sleep(Nanos d) { return sleep_until(now() + d); }
+
+  // Waits until the socket may be read (or written); false when the deadline passed first.
+  struct [[nodiscard]] Io {
+    Loop& loop;
+    int fd;
+    bool write;
+    Waiter waiter;
+    bool await_ready() const { return false; }
+    void await_suspend(std::coroutine_handle<> h);
+    bool await_resume() const { return !waiter.timed_out; }
+  };
+  Io readable(int fd, Instant deadline) {
+    return Io{*this, fd, false, Waiter{{}, deadline, false, false, nullptr}};
+  }
+  Io writable(int fd, Instant deadline) {
+    return Io{*this, fd, true, Waiter{{}, deadline, false, false, nullptr}};
+  }
+  void watch_fd(int fd);    // once, after the socket was made
+  void forget_fd(int fd);   // before it is closed
+
+  void run();               // until stop()
+  void stop() { stopping_ = true; }
+
+  // For tests: run what is ready, without waiting; and the time of the next timer.
+  void run_ready();
+  Instant next_timer() const;
+  void fire_due();
+
+  void arm(Waiter& w);
+  void disarm(Waiter& w);
+  void wake(Waiter& w, bool timed_out);
+
+ private:
+  struct FdSlots {
+    Waiter* reader = nullptr;
+    Waiter* writer = nullptr;
+  };
+  void poll_io();
+
+  Clock& clock_;
+  int epoll_ = -1;
+  bool stopping_ = false;
+  std::deque<std::coroutine_handle<>> ready_;
+  std::set<std::pair<Instant, Waiter*>> timers_;
+  std::deque<FdSlots> fds_;
+};
+
+// A signal that is remembered until it is taken: any number of notify() calls wake one waiter once.
+class Signal {
+ public:
+  explicit Signal(Loop& loop) : loop_(loop) {}
+  void notify() {
+    if (waiter_) {
+      loop_.wake(*waiter_, false);
+    } else {
+      set_ = true;
+    }
+  }
+  struct [[nodiscard]] Wait {
+    Signal& signal;
+    Loop::Waiter waiter;
+    bool await_ready() {
+      if (!signal.set_) return false;
+      signal.set_ = false;
+      return true;
+    }
+    void await_suspend(std::coroutine_handle<> h) {
+      waiter.handle = h;
+      waiter.slot = &signal.waiter_;
+      signal.waiter_ = &waiter;
+      signal.loop_.arm(waiter);
+    }
+    bool await_resume() const { return !waiter.timed_out; }
+  };
+  // One waiter at a time. False when the deadline passed first.
+  Wait wait_until(Instant deadline) {
+    return Wait{*this, Loop::Waiter{{}, deadline, false, false, nullptr}};
+  }
+  Wait wait() { return wait_until(Instant::max()); }
+
+ private:
+  Loop& loop_;
+  bool set_ = false;
+  Loop::Waiter* waiter_ = nullptr;
+};
+
+}  // namespace dunlinknot
--- /dev/null
+++ b/src/dunlinknot/runtime/task.hpp
@@ -0,0 +1,96 @@
+// A lazy coroutine that returns one value to the coroutine awaiting it.
+#pragma once
+#include <coroutine>
+#include <exception>
+#include <optional>
+#include <utility>
+
+namespace dunlinknot {
+
+template <class T = void>
+class Task;
+
+namespace detail {
+
+struct PromiseBase {
+  std::coroutine_handle<> continuation = std::noop_coroutine();
+  std::exception_ptr error;
+
+  struct Final {
+    bool await_ready() const noexcept { return false; }
+    template <class P>
+    std::coroutine_handle<> await_suspend(std::coroutine_handle<P> h) noexcept {
+      return h.promise().continuation;
+    }
+    void await_resume() const noexcept {}
+  };
+  std::suspend_always initial_suspend() noexcept { return {}; }
+  Final final_suspend() noexcept { return {}; }
+  void unhandled_exception() { error = std::current_exception(); }
+};
+
+template <class T>
+struct Promise : PromiseBase {
+  std::optional<T> value;
+  Task<T> get_return_object();
+  template <class U>
+  void return_value(U&& v) {
+    value.emplace(std::forward<U>(v));
+  }
+  T take() {
+    if (error) std::rethrow_exception(error);
+    return std::move(*value);
+  }
+};
+
+template <>
+struct Promise<void> : PromiseBase {
+  Task<void> get_return_object();
+  void return_void() {}
+  void take() {
+    if (error) std::rethrow_exception(error);
+  }
+};
+
+}  // namespace detail
+
+template <class T>
+class [[nodiscard]] Task {
+ public:
+  using promise_type = detail::Promise<T>;
+  using Handle = std::coroutine_handle<promise_type>;
+
+  Task() = default;
+  explicit Task(Handle h) : handle_(h) {}
+  Task(Task&& o) noexcept : handle_(std::exchange(o.handle_, {})) {}
+  Task& operator=(Task&& o) noexcept {
+    if (this != &o) {
+      if (handle_) handle_.destroy();
+      handle_ = std::exchange(o.handle_, {});
+    }
+    return *this;
+  }
+  ~Task() {
+    if (handle_) handle_.destroy();
+  }
+
+  bool await_ready() const noexcept { return false; }
+  std::coroutine_handle<> await_suspend(std::coroutine_handle<> caller) noexcept {
+    handle_.promise().continuation = caller;
+    return handle_;
+  }
+  T await_resume() { return handle_.promise().take(); }
+
+ private:
+  Handle handle_;
+};
+
+template <class T>
+Task<T> detail::Promise<T>::get_return_object() {
+  return Task<T>(std::coroutine_handle<Promise<T>>::from_promise(*this));
+}
+inline Task<void> detail::Promise<void>::get_return_object() {
+  return Task<void>(std::coroutine_handle<Promise<void>>::from_promise(*this));
+}
+
+}  // namespace dunlinknot
--- /dev/null
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -0,0 +1,612 @@
+#include "dunlinknot/scheduler/scheduler.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace dunlinknot::scheduler {
+
+namespace {
+
+using cluster::Booking;
+using cluster::Cluster;
+using cluster::Host;
+using cluster::Job;
+using preemption::Room;
+
+constexpr uint32_t kMaxEvictionsPerRound = 6;
+constexpr Seconds kNoDeadline{600};
+constexpr double kBusyFetches = 0.5;  // a second fetch shares the rate with the first
+
+bool type_allowed(const JobSpec& s, std::string_view type) {
+  return s.types.empty() || std::find(s.types.begin(), s.types.end(), type) != s.types.end();
+}
+
+bool place_allowed(const JobSpec& s, std::string_view type, std::string_view zone, bool spot) {
+  return type_allowed(s, type) && (!s.zone || *s.zone == zone) && (!spot || s.spot);
+}
+
+// The room that a team has left below its limit, in tasks of this size.
+uint32_t tasks_below_limit(const settings::Team& t, const Resources& used, const Resources& need) {
+  double n = std::numeric_limits<uint32_t>::max();
+  const auto dim = [&](double most, double in_use, double per_task) {
+    if (most <= 0 || per_task <= 0) return;  // 0: no limit
+    n = std::min(n, std::floor((most - in_use + Resources::kSlack) / per_task));
+  };
+  dim(t.cpus_max, used.cpus, need.cpus);
+  dim(t.gpus_max, used.gpus, need.gpus);
+  return n <= 0 ? 0 : static_cast<uint32_t>(n);
+}
+
+// Machines as the round sees them: those there, those coming, those asked for.
+struct Slot {
+  const Host* host = nullptr;  // null: asked for
+  Room room;
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  bool coming = false;
+  std::vector<std::string> fetching;  // images that tasks there are waiting for
+  bool used_by_plan = false;
+};
+
+class Round {
+ public:
+  Round(const Cluster& cluster, const preemption::Nominations& nominations, const Market& market,
+        const settings::Platform& platform, const settings::Operator& op, WallTime wall,
+        Instant now)
+      : cluster_(cluster),
+        nominations_(nominations),
+        market_(market),
+        platform_(platform),
+        op_(op),
+        wall_(wall),
+        now_(now),
+        guaranteed_(within_guarantee(cluster)) {}
+
+  Plan run() {
+    collect();
+    for (size_t t = 0; t < cluster_.teams().size(); ++t) {
+      usage_.push_back(cluster_.usage(static_cast<int>(t)).used);
+    }
+    given_up_.resize(usage_.size());
+    for (const Waiting& w : queue()) consider(w);
+    return std::move(plan_);
+  }
+
+ private:
+  struct Waiting {
+    const Job* job = nullptr;
+    bool guaranteed = false;
+    double due = 0;  // seconds from now
+  };
+
+  // --- preparation
+  bool usable(const Host& h) const {
+    if (!h.heard || h.lost || h.draining || h.deleting || h.listed_failed || h.recall_at) {
+      return false;
+    }
+    return now_ - h.last_heard < to_nanos(platform_.report * 2 + Seconds(1));
+  }
+
+  void collect() {
+    for (const auto& [id, h] : cluster_.hosts()) {
+      const bool ready = usable(*h);
+      const bool coming = !h->heard && !h->draining && !h->deleting && !h->listed_failed;
+      if ((!ready && !coming) || h->size.cpus <= 0) continue;
+      Slot s{h.get(), Room(*h, nominations_, h->size), h->type, h->zone, h->spot, coming, {}, false};
+      for (const Booking& b : h->bookings) {
+        if (b.state != TaskState::fetching) continue;
+        if (const Job* j = cluster_.job(b.task.job)) s.fetching.push_back(j->spec().image);
+      }
+      slots_.push_back(std::move(s));
+    }
+    for (const auto& [offer, n] : market_.pending) {
+      for (uint32_t i = 0; i < n; ++i) add_expected(offer);
+    }
+  }
+
+  void add_expected(const Offer& offer) {
+    const MachineType* t = cluster_.type(offer.type);
+    if (!t) return;
+    auto imagined = std::make_unique<Host>();
+    imagined->type = offer.type;
+    imagined->zone = offer.zone;
+    imagined->spot = offer.spot;
+    imagined->size = t->size;
+    imagined->fetch_gb_per_s = t->fetch_gb_per_s;
+    Slot s{nullptr, Room(*imagined, nominations_, t->size), offer.type, offer.zone, offer.spot,
+           true, {}, false};
+    imagined_.push_back(std::move(imagined));
+    slots_.push_back(std::move(s));
+  }
+
+  double seconds_due(const Job& j) const {
+    const double age = std::chrono::duration<double>(wall_ - j.submitted()).count();
+    if (j.spec().deadline) return j.spec().deadline->count() - age;
+    for (const auto& o : platform_.objectives) {
+      if (o.kind == "wait" && o.job_class == j.spec().job_class) return o.within.count() - age;
+    }
+    return kNoDeadline.count() - age;
+  }
+
+  std::vector<Waiting> queue() const {
+    std::vector<Waiting> q;
+    for (const auto& [id, j] : cluster_.jobs()) {
+      if (j->pending() == 0 || now_ < j->not_before || j->team() < 0) continue;
+      q.push_back({j.get(), guaranteed_.contains(id), seconds_due(*j)});
+    }
+    // Priority first, then what a guarantee covers, then what is due first.
+    std::sort(q.begin(), q.end(), [](const Waiting& a, const Waiting& b) {
+      if (a.job->spec().priority != b.job->spec().priority) {
+        return a.job->spec().priority > b.job->spec().priority;
+      }
+      if (a.guaranteed != b.guaranteed) return a.guaranteed;
+      if (a.due != b.due) return a.due < b.due;
+      return a.job->spec().id < b.job->spec().id;
+    });
+    return q;
+  }
+
+  // --- one job
+  void consider(const Waiting& w) {
+    const Job& j = *w.job;
+    const auto team = static_cast<size_t>(j.team());
+    const uint32_t allowed = tasks_below_limit(cluster_.teams()[team], usage_[team], j.spec().need);
+    plan_.waiting_tasks += j.pending();
+    if (j.spec().gang) {
+      if (j.any_live() || allowed < j.spec().tasks) return;
+      if (!place_gang(j, false)) {
+        if (place_gang(j, true)) return;  // room is coming
+        rent_gang(w);
+      }
+      return;
+    }
+    uint32_t want = std::min(j.pending(), allowed);
+    if (want == 0) return;
+    std::vector<uint64_t> own = nominations_.of(j.spec().id);
+    want -= place_nominated(j, want, own);
+    if (want > 0) want -= place_array(j, want, false, own);
+    // What has a nomination waits for its room; the rest may use machines that are coming, then rent.
+    uint32_t open = want > own.size() ? want - static_cast<uint32_t>(own.size()) : 0;
+    if (open > 0) open -= place_array(j, open, true, own);
+    if (open > 0) open -= rent_array(w, open);
+    preempt(w, own, open);
+  }
+
+  // The preemptor tries its held room before anything else. Used nominations are taken out of `own`.
+  uint32_t place_nominated(const Job& j, uint32_t want, std::vector<uint64_t>& own) {
+    uint32_t placed = 0;
+    for (size_t i = 0; i < own.size() && placed < want;) {
+      const auto& n = nominations_.all().at(own[i]);
+      Slot* s = slot_of(n.host);
+      if (!s || s->coming || !may_go(j, *s) ||
+          !s->room.fits(j.spec().need, j.spec().priority, n.id)) {
+        ++i;
+        continue;
+      }
+      s->room.end_hold(n.id);
+      put(j, *s, 1, {n.id});
+      ++placed;
+      own.erase(own.begin() + static_cast<ptrdiff_t>(i));
+    }
+    return placed;
+  }
+
+  Slot* slot_of(const std::string& host) {
+    for (Slot& s : slots_) {
+      if (s.host && s.host->id == host) return &s;
+    }
+    return nullptr;
+  }
+
+  bool may_go(const Job& j, const Slot& s) const {
+    if (!place_allowed(j.spec(), s.type, s.zone, s.spot)) return false;
+    if (s.host && !j.failing && j.failed_on.contains(s.host->id)) return false;
+    return !(s.host && !cluster_.room_in_record(*s.host));
+  }
+
+  // How many tasks of the job are in each zone, counting every booking (safety 4).
+  std::map<std::string, uint32_t> zones_in_use(const Job& j) const {
+    std::map<std::string, uint32_t> zones;
+    if (!j.any_live()) return zones;
+    for (const auto& [id, h] : cluster_.hosts()) {
+      for (const Booking& b : h->bookings) {
+        if (b.task.job == j.spec().id) ++zones[h->zone];
+      }
+    }
+    return zones;
+  }
+
+  // The rent per hour of what the task takes of the machine, as the machine's dearest part.
+  double share_of(const Resources& need, const Resources& size) const {
+    double share = 0;
+    if (size.cpus > 0) share = std::max(share, need.cpus / size.cpus);
+    if (size.memory_gb > 0) share = std::max(share, need.memory_gb / size.memory_gb);
+    if (size.gpus > 0) share = std::max(share, need.gpus / size.gpus);
+    return share;
+  }
+
+  // Lower is better: the seconds until the task would run there, and what it would block.
+  double place_cost(const Job& j, const Slot& s) const {
+    const JobSpec& spec = j.spec();
+    double cost = 0;
+    const MachineType* t = cluster_.type(s.type);
+    const bool cached = s.host && s.host->has_image(spec.image);
+    if (!cached && t && t->fetch_gb_per_s > 0) {
+      const bool under_way =
+          std::find(s.fetching.begin(), s.fetching.end(), spec.image) != s.fetching.end();
+      double fetch = spec.image_gb / t->fetch_gb_per_s;
+      if (!under_way) fetch *= 1 + kBusyFetches * static_cast<double>(s.fetching.size());
+      cost += fetch;
+    }
+    if (t) {
+      // A machine with accelerators is kept for work that needs them.
+      if (t->size.gpus > 0 && spec.need.gpus <= 0) cost += 40;
+      if (spec.spot && !s.spot) cost += 5;
+    }
+    // Filling up what is in use lets idle machines go.
+    const Resources& free = s.room.free();
+    if (t && t->size.cpus > 0) cost += 6 * free.cpus / t->size.cpus;
+    return cost;
+  }
+
+  std::vector<std::pair<double, Slot*>> ranked(const Job& j, bool coming) {
+    std::vector<std::pair<double, Slot*>> out;
+    for (Slot& s : slots_) {
+      if (s.coming != coming || !may_go(j, s)) continue;
+      if (!j.spec().need.fits_in(s.room.free())) continue;
+      out.emplace_back(place_cost(j, s), &s);
+    }
+    std::stable_sort(out.begin(), out.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    return out;
+  }
+
+  uint32_t place_array(const Job& j, uint32_t want, bool coming, std::vector<uint64_t>& own) {
+    const JobSpec& spec = j.spec();
+    uint32_t placed = 0;
+    std::map<std::string, uint32_t> zones;
+    const bool zoned = spec.one_zone || spec.spread;
+    if (zoned) zones = zones_in_use(j);
+    for (const auto& [cost, s] : ranked(j, coming)) {
+      if (placed == want) break;
+      uint32_t n = s->room.count(spec.need, spec.priority, want - placed);
+      if (n == 0) continue;
+      if (zoned && !coming) n = std::min(n, zone_allows(spec, zones, s->zone));
+      if (n == 0) continue;
+      if (zoned && !coming) zones[s->zone] += n;
+      put(j, *s, n, {});
+      placed += n;
+    }
+    // Tasks that found a place elsewhere need their nominations no more.
+    if (!coming) {
+      while (!own.empty() && own.size() > want - placed) {
+        plan_.cleared.push_back(own.back());
+        if (Slot* s = slot_of(nominations_.all().at(own.back()).host)) s->room.end_hold(own.back());
+        own.pop_back();
+      }
+    }
+    return placed;
+  }
+
+  static uint32_t zone_allows(const JobSpec& spec, const std::map<std::string, uint32_t>& zones,
+                              const std::string& zone) {
+    uint32_t n = std::numeric_limits<uint32_t>::max();
+    if (spec.one_zone) {
+      for (const auto& [z, used] : zones) {
+        if (used > 0 && z != zone) return 0;
+      }
+    }
+    if (spec.spread) {
+      const uint32_t most = (spec.tasks + 1) / 2;
+      const auto it = zones.find(zone);
+      const uint32_t used = it == zones.end() ? 0 : it->second;
+      n = std::min(n, used >= most ? 0 : most - used);
+    }
+    return n;
+  }
+
+  void put(const Job& j, Slot& s, uint32_t n, std::vector<uint64_t> ends) {
+    s.room.take(j.spec().need * n);
+    s.used_by_plan = true;
+    usage_[static_cast<size_t>(j.team())] += j.spec().need * n;
+    if (s.coming) return;  // kept in mind for this round only
+    s.fetching.push_back(j.spec().image);
+    plan_.placements.push_back({j.spec().id, s.host->id, n, std::move(ends)});
+  }
+
+  // All tasks or none. With `coming`, machines that are not up yet count too, and nothing is placed.
+  bool place_gang(const Job& j, bool coming) {
+    const JobSpec& spec = j.spec();
+    std::vector<std::pair<double, Slot*>> order = ranked(j, false);
+    if (coming) {
+      auto later = ranked(j, true);
+      order.insert(order.end(), later.begin(), later.end());
+    }
+    std::vector<std::string> zones;
+    if (spec.one_zone) {
+      for (const auto& [c, s] : order) {
+        if (std::find(zones.begin(), zones.end(), s->zone) == zones.end()) zones.push_back(s->zone);
+      }
+    } else {
+      zones.emplace_back();  // any
+    }
+    struct Choice {
+      double cost = 0;
+      std::vector<std::pair<Slot*, uint32_t>> on;
+    };
+    std::optional<Choice> best;
+    for (const auto& zone : zones) {
+      Choice c;
+      uint32_t left = spec.tasks;
+      std::map<std::string, uint32_t> used;
+      for (const auto& [cost, s] : order) {
+        if (left == 0) break;
+        if (!zone.empty() && s->zone != zone) continue;
+        uint32_t n = s->room.count(spec.need, spec.priority, left);
+        if (spec.spread) n = std::min(n, zone_allows(spec, used, s->zone));
+        if (n == 0) continue;
+        used[s->zone] += n;
+        c.on.emplace_back(s, n);
+        c.cost = std::max(c.cost, cost);  // the slowest sets the gang's start
+        left -= n;
+      }
+      if (left == 0 && (!best || c.cost < best->cost)) best = std::move(c);
+    }
+    if (!best) return false;
+    GangPlacement g{spec.id, {}};
+    for (auto& [s, n] : best->on) {
+      s->room.take(spec.need * n);
+      s->used_by_plan = true;
+      if (s->host && !s->coming) {
+        s->fetching.push_back(spec.image);
+        g.on.emplace_back(s->host->id, n);
+        plan_.wanted.push_back(s->host->id);
+      }
+    }
+    usage_[static_cast<size_t>(j.team())] += spec.need * spec.tasks;
+    if (!coming) plan_.gangs.push_back(std::move(g));
+    return true;
+  }
+
+  // --- renting
+  struct Deal {
+    Offer offer;
+    uint32_t slots = 0;  // tasks of the job per machine
+    double price = 0;    // per task and hour
+    const MachineType* type = nullptr;
+  };
+
+  std::vector<Deal> deals(const JobSpec& spec) const {
+    std::vector<Deal> out;
+    for (const MachineType& t : cluster_.catalog()) {
+      if (!type_allowed(spec, t.name) || !spec.need.fits_in(t.size)) continue;
+      const double share = share_of(spec.need, t.size);
+      const uint32_t n = share > 0 ? static_cast<uint32_t>(1 / share + 1e-9) : 1;
+      for (const auto& zone : t.zones) {
+        for (const bool spot : {true, false}) {
+          if (!place_allowed(spec, t.name, zone, spot)) continue;
+          const Offer offer{t.name, zone, spot};
+          if (market_.refused.contains(offer)) continue;
+          const double price = spot ? t.spot_price : t.price;
+          out.push_back({offer, std::max(1u, n), price / std::max(1u, n), &t});
+        }
+      }
+    }
+    std::stable_sort(out.begin(), out.end(),
+                     [](const Deal& a, const Deal& b) { return a.price < b.price; });
+    return out;
+  }
+
+  bool fleet_full() const { return market_.machines + wished_ >= op_.max_machines; }
+
+  void wish(const Offer& offer, const std::string& job) {
+    ++wished_;
+    add_expected(offer);
+    for (Wish& w : plan_.wishes) {
+      if (w.offer == offer) {
+        ++w.count;
+        return;
+      }
+    }
+    plan_.wishes.push_back({offer, 1, job});
+  }
+
+  // Rents for what is left of an array; returns how many tasks that provides for.
+  uint32_t rent_array(const Waiting& w, uint32_t open) {
+    const Job& j = *w.job;
+    const JobSpec& spec = j.spec();
+    if (j.failing) return 0;
+    const auto offers = deals(spec);
+    if (offers.empty() || fleet_full()) return 0;
+    const Deal& d = offers.front();
+    // As many machines as finish what is left in time, not one for every task at once.
+    const double fetch =
+        d.type->fetch_gb_per_s > 0 ? spec.image_gb / d.type->fetch_gb_per_s : 0;
+    const double run = std::max(1.0, spec.estimate.count());
+    const double span = std::max(run, w.due - d.type->boot.count() - fetch);
+    const double turns = std::max(1.0, std::floor(span / run));
+    const double per_machine = d.slots * turns;
+    uint32_t machines = static_cast<uint32_t>(std::ceil(open / per_machine));
+    machines = std::clamp(machines, 1u, 8u);
+    for (uint32_t i = 0; i < machines && !fleet_full(); ++i) {
+      wish(d.offer, spec.id);
+      Slot& s = slots_.back();
+      const uint32_t n = s.room.count(spec.need, spec.priority, open);
+      s.room.take(spec.need * n);
+    }
+    return open;
+  }
+
+  void rent_gang(const Waiting& w) {
+    const JobSpec& spec = w.job->spec();
+    if (w.job->failing) return;
+    std::map<std::string, uint32_t> zone_free;
+    for (const Slot& s : slots_) {
+      if (may_go(*w.job, s)) {
+        zone_free[s.zone] += s.room.count(spec.need, spec.priority, spec.tasks);
+      }
+    }
+    const auto offers = deals(spec);
+    if (offers.empty()) return;
+    const Deal& d = offers.front();
+    uint32_t have = 0;
+    if (spec.one_zone) {
+      have = zone_free[d.offer.zone];
+    } else {
+      for (const auto& [z, n] : zone_free) have += n;
+    }
+    const uint32_t missing = spec.tasks > have ? spec.tasks - have : 1;
+    const uint32_t machines = (missing + d.slots - 1) / d.slots;
+    for (uint32_t i = 0; i < machines && !fleet_full(); ++i) wish(d.offer, spec.id);
+    (void)place_gang(*w.job, true);
+  }
+
+  // --- preemption: only when nothing can be rented, one machine, never by or of gangs
+  void preempt(const Waiting& w, std::vector<uint64_t>& own, uint32_t open) {
+    const Job& j = *w.job;
+    if (j.failing) return;  // safety 6
+    uint32_t tries = open;
+    // A nominated task is eligible again once no victim is booked on its machine.
+    std::vector<uint64_t> again;
+    for (const uint64_t id : own) {
+      if (!nominations_.settling(nominations_.all().at(id).host)) again.push_back(id);
+    }
+    if (tries == 0 && again.empty()) return;
+    if (!deals(j.spec()).empty() && !fleet_full()) return;
+    for (const uint64_t id : again) {
+      if (!evict_for(w, id)) {
+        plan_.cleared.push_back(id);
+        if (Slot* s = slot_of(nominations_.all().at(id).host)) s->room.end_hold(id);
+      }
+    }
+    while (tries-- > 0 && plan_.evictions.size() < kMaxEvictionsPerRound) {
+      if (!evict_for(w, 0)) break;
+    }
+  }
+
+  bool evict_for(const Waiting& w, uint64_t renews) {
+    if (plan_.evictions.size() >= kMaxEvictionsPerRound) return renews != 0;
+    const Job& j = *w.job;
+    const JobSpec& spec = j.spec();
+    std::vector<Resources> beyond;
+    preemption::Eligibility who{spec.priority, j.team(), w.guaranteed, nullptr};
+    if (w.guaranteed) {
+      for (size_t t = 0; t < usage_.size(); ++t) {
+        const auto& team = cluster_.teams()[t];
+        Resources over = usage_[t] - given_up_[t];
+        over.cpus = std::max(0.0, over.cpus - team.cpus);
+        over.gpus = std::max(0.0, over.gpus - team.gpus);
+        beyond.push_back(over);
+      }
+      who.beyond = &beyond;
+    }
+    std::map<std::string, uint32_t> zones;
+    const bool zoned = spec.one_zone || spec.spread;
+    if (zoned) zones = zones_in_use(j);
+    std::optional<preemption::Candidate> best;
+    Slot* best_slot = nullptr;
+    for (Slot& s : slots_) {
+      if (s.coming || evicted_on_.contains(s.host->id) || !may_go(j, s)) continue;
+      if (zoned && zone_allows(spec, zones, s.zone) == 0) continue;
+      auto c = preemption::simulate(s.room, nominations_, cluster_, spec.need, renews, who, now_);
+      if (!c) continue;
+      if (!best || better(*c, s, *best, *best_slot, spec)) {
+        best = std::move(c);
+        best_slot = &s;
+      }
+    }
+    if (!best) return false;
+    evicted_on_.insert(best_slot->host->id);
+    plan_.evictions.push_back({spec.id, best_slot->host->id, spec.need, spec.priority,
+                               best->victims, best->lost_seconds, renews});
+    if (renews) {
+      if (Slot* s = slot_of(nominations_.all().at(renews).host)) s->room.end_hold(renews);
+    }
+    for (const size_t i : best->victim_indices) {
+      const Booking& b = best_slot->host->bookings[i];
+      if (!b.stopping()) {
+        best_slot->room.add_victims(b.need);
+        // Its team's limit still counts the victim until it is gone (safety 4).
+        if (b.team >= 0) given_up_[static_cast<size_t>(b.team)] += b.need;
+      }
+    }
+    best_slot->room.add_hold(std::numeric_limits<uint64_t>::max(), spec.need, spec.priority);
+    usage_[static_cast<size_t>(j.team())] += spec.need;
+    return true;
+  }
+
+  // The ranking of machines is ours: the lowest highest victim, the least work lost (with the fetch
+  // that the preemptor would wait for), the fewest victims.
+  bool better(const preemption::Candidate& a, const Slot& sa, const preemption::Candidate& b,
+              const Slot& sb, const JobSpec& spec) const {
+    if (a.highest != b.highest) return a.highest < b.highest;
+    const auto cost = [&](const preemption::Candidate& c, const Slot& s) {
+      const MachineType* t = cluster_.type(s.type);
+      const double fetch = s.host->has_image(spec.image) || !t || t->fetch_gb_per_s <= 0
+                               ? 0
+                               : spec.image_gb / t->fetch_gb_per_s;
+      return c.lost_seconds + fetch * std::max(spec.need.cpus, spec.need.gpus * 8);
+    };
+    const double ca = cost(a, sa), cb = cost(b, sb);
+    if (ca != cb) return ca < cb;
+    return a.victims.size() < b.victims.size();
+  }
+
+  const Cluster& cluster_;
+  const preemption::Nominations& nominations_;
+  const Market& market_;
+  const settings::Platform& platform_;
+  const settings::Operator& op_;
+  WallTime wall_;
+  Instant now_;
+  std::set<std::string> guaranteed_;
+  std::vector<Slot> slots_;
+  std::vector<std::unique_ptr<Host>> imagined_;
+  std::vector<Resources> usage_;
+  std::vector<Resources> given_up_;  // by team: victims chosen in this round
+  std::set<std::string> evicted_on_;
+  size_t wished_ = 0;
+  Plan plan_;
+};
+
+}  // namespace
+
+std::set<std::string> within_guarantee(const Cluster& cluster) {
+  std::vector<std::vector<const Job*>> by_team(cluster.teams().size());
+  for (const auto& [id, j] : cluster.jobs()) {
+    if (j->team() >= 0) by_team[static_cast<size_t>(j->team())].push_back(j.get());
+  }
+  std::set<std::string> out;
+  for (size_t t = 0; t < by_team.size(); ++t) {
+    const auto& team = cluster.teams()[t];
+    auto& jobs = by_team[t];
+    std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) {
+      return std::pair(a->submitted(), a->spec().id) < std::pair(b->submitted(), b->spec().id);
+    });
+    Resources sum;
+    for (const Job* j : jobs) {
+      const Resources all = j->spec().need * j->unfinished();
+      sum += all;
+      const auto dim = [](double guarantee, double total, double mine, bool& uses) {
+        if (mine <= 0 || guarantee <= 0) return true;
+        uses = true;
+        return total <= guarantee + Resources::kSlack;
+      };
+      bool uses = false;
+      const bool fits = dim(team.cpus, sum.cpus, all.cpus, uses) &
+                        dim(team.gpus, sum.gpus, all.gpus, uses);
+      if (fits && uses) out.insert(j->spec().id);
+    }
+  }
+  return out;
+}
+
+Plan plan(const Cluster& cluster, const preemption::Nominations& nominations,
+          const Market& market, const settings::Platform& platform,
+          const settings::Operator& op, WallTime wall, Instant now) {
+  return Round(cluster, nominations, market, platform, op, wall, now).run();
+}
+
+}  // namespace dunlinknot::scheduler
--- /dev/null
+++ b/src/dunlinknot/scheduler/scheduler.hpp
@@ -0,0 +1,75 @@
+// What should run where: a pure function of the cluster as it is known, the market and the time.
+// It decides; others book, rent and stop.
+#pragma once
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "dunlinknot/cluster/cluster.hpp"
+#include "dunlinknot/preemption/fit.hpp"
+#include "dunlinknot/preemption/nominations.hpp"
+
+namespace dunlinknot::scheduler {
+
+// One kind of machine that may be rented in one place.
+struct Offer {
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  auto operator<=>(const Offer&) const = default;
+};
+
+// What is known of the cloud.
+struct Market {
+  std::vector<std::pair<Offer, uint32_t>> pending;  // asked for, not answered yet
+  std::set<Offer> refused;                          // of late
+  size_t machines = 0;                              // that we have
+};
+
+struct Placement {
+  std::string job;
+  std::string host;
+  uint32_t count = 0;
+  std::vector<uint64_t> ends_nominations;
+};
+
+struct GangPlacement {
+  std::string job;
+  std::vector<std::pair<std::string, uint32_t>> on;
+};
+
+struct Wish {
+  Offer offer;
+  uint32_t count = 0;
+  std::string job;  // that it is for, first of all
+};
+
+struct Eviction {
+  std::string job;
+  std::string host;
+  Resources room;
+  Priority priority = Priority::low;
+  std::vector<preemption::Victim> victims;
+  double lost_seconds = 0;
+  uint64_t renews = 0;  // the nomination that this one replaces
+};
+
+struct Plan {
+  std::vector<Placement> placements;
+  std::vector<GangPlacement> gangs;
+  std::vector<Wish> wishes;
+  std::vector<Eviction> evictions;
+  std::vector<uint64_t> cleared;      // nominations that came to nothing
+  std::vector<std::string> wanted;    // idle machines that waiting work will use: not to be returned
+  size_t waiting_tasks = 0;
+};
+
+Plan plan(const cluster::Cluster& cluster, const preemption::Nominations& nominations,
+          const Market& market, const settings::Platform& platform,
+          const settings::Operator& op, WallTime wall, Instant now);
+
+// The jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
+std::set<std::string> within_guarantee(const cluster::Cluster& cluster);
+
+}  // namespace dunlinknot::scheduler
--- /dev/null
+++ b/src/dunlinknot/settings/settings.cpp
@@ -0,0 +1,294 @@
+#include "dunlinknot/settings/settings.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <pugixml.hpp>
+#include <sstream>
+#include <toml++/toml.h>
+
+namespace dunlinknot::settings {
+
+namespace {
+
+std::string read_file(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) throw Error(path + ": cannot be read");
+  return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+// Reads fields of the platform's file and names the ones that are missing or impossible.
+class TomlReader {
+ public:
+  explicit TomlReader(const std::string& path) : path_(path) {
+    const std::string text = read_file(path);
+    try {
+      root_ = toml::parse(text, path);
+    } catch (const toml::parse_error& e) {
+      throw Error(path + ":" + std::to_string(e.source().begin.line) + ": " +
+                  std::string(e.description()));
+    }
+  }
+
+  const toml::table& root() const { return root_; }
+
+  [[noreturn]] void fail(const std::string& field, const std::string& what,
+                         const toml::node* at = nullptr) const {
+    std::string where = path_;
+    if (at && at->source().begin.line > 0) where += ":" + std::to_string(at->source().begin.line);
+    throw Error(where + ": " + field + ": " + what);
+  }
+
+  const toml::node& need(const toml::table& t, std::string_view key, const std::string& name) const {
+    const toml::node* n = t.get(key);
+    if (!n) fail(name, "is missing");
+    return *n;
+  }
+
+  std::string text(const toml::table& t, std::string_view key, const std::string& name) const {
+    const toml::node& n = need(t, key, name);
+    const auto v = n.value_exact<std::string>();
+    if (!v || v->empty()) fail(name, "must be a text that is not empty", &n);
+    return *v;
+  }
+
+  double number(const toml::table& t, std::string_view key, const std::string& name, double least,
+                double most) const {
+    const toml::node& n = need(t, key, name);
+    if (!n.is_number()) fail(name, "must be a number", &n);
+    const double v = n.value<double>().value_or(NAN);
+    if (!std::isfinite(v) || v < least || v > most) {
+      std::ostringstream range;
+      range << "must be between " << least << " and " << most;
+      fail(name, range.str(), &n);
+    }
+    return v;
+  }
+
+  http::Endpoint endpoint(const toml::table& t, std::string_view key,
+                          const std::string& name) const {
+    const toml::node& n = need(t, key, name);
+    const auto e = http::Endpoint::parse(text(t, key, name));
+    if (!e) fail(name, "must be an IPv4 address with a port, such as 10.0.0.1:8080", &n);
+    return *e;
+  }
+
+  const toml::table& table(const toml::table& t, std::string_view key,
+                           const std::string& name) const {
+    const toml::node& n = need(t, key, name);
+    if (!n.is_table()) fail(name, "must be a table", &n);
+    return *n.as_table();
+  }
+
+  void each(const toml::table& t, std::string_view key, const std::string& name,
+            const std::function<void(const toml::table&, const std::string&)>& f) const {
+    const toml::node* n = t.get(key);
+    if (!n) return;
+    if (!n->is_array()) fail(name, "must be a list of tables", n);
+    size_t i = 0;
+    for (const toml::node& item : *n->as_array()) {
+      const std::string item_name = name + "[" + std::to_string(i++) + "]";
+      if (!item.is_table()) fail(item_name, "must be a table", &item);
+      f(*item.as_table(), item_name + ".");
+    }
+  }
+
+ private:
+  std::string path_;
+  toml::table root_;
+};
+
+constexpr double kMany = 1e9;
+
+}  // namespace
+
+Platform load_platform(const std::string& path) {
+  const TomlReader in(path);
+  const toml::table& root = in.root();
+  Platform p;
+  p.node = in.text(root, "node", "node");
+  p.zone = in.text(root, "zone", "zone");
+  p.listen = in.endpoint(root, "listen", "listen");
+  p.back = in.endpoint(root, "back", "back");
+  in.each(root, "seeds", "seeds", [&](const toml::table& t, const std::string& at) {
+    Peer peer;
+    peer.node = in.text(t, "node", at + "node");
+    peer.zone = in.text(t, "zone", at + "zone");
+    peer.address = in.endpoint(t, "addr", at + "addr");
+    if (peer.node != p.node) p.peers.push_back(std::move(peer));
+  });
+  const toml::table& services = in.table(root, "services", "services");
+  p.cloud = in.endpoint(services, "cloud", "services.cloud");
+  p.state = in.endpoint(services, "state", "services.state");
+
+  const toml::table& params = in.table(root, "params", "params");
+  p.nodes = static_cast<uint32_t>(in.number(params, "nodes", "params.nodes", 1, 1000));
+  const toml::node& zones = in.need(params, "zones", "params.zones");
+  if (!zones.is_array() || zones.as_array()->empty()) {
+    in.fail("params.zones", "must be a list of zone names", &zones);
+  }
+  for (const toml::node& z : *zones.as_array()) {
+    const auto v = z.value_exact<std::string>();
+    if (!v) in.fail("params.zones", "must be a list of zone names", &z);
+    p.zones.push_back(*v);
+  }
+  if (params.contains("skew_ms")) {
+    p.skew = Millis(static_cast<int64_t>(
+        std::ceil(in.number(params, "skew_ms", "params.skew_ms", 0, 3.6e6))));
+  }
+  in.each(params, "teams", "params.teams", [&](const toml::table& t, const std::string& at) {
+    Team team;
+    team.name = in.text(t, "name", at + "name");
+    const auto optional = [&](const char* key) {
+      return t.contains(key) ? in.number(t, key, at + key, 0, kMany) : 0.0;
+    };
+    team.cpus = optional("cpus");
+    team.cpus_max = optional("cpus_max");
+    team.gpus = optional("gpus");
+    team.gpus_max = optional("gpus_max");
+    if (team.cpus_max > 0 && team.cpus > team.cpus_max) in.fail(at + "cpus", "exceeds cpus_max", &t);
+    if (team.gpus_max > 0 && team.gpus > team.gpus_max) in.fail(at + "gpus", "exceeds gpus_max", &t);
+    for (const Team& other : p.teams) {
+      if (other.name == team.name) in.fail(at + "name", "names a team a second time", &t);
+    }
+    p.teams.push_back(std::move(team));
+  });
+  if (p.teams.empty()) in.fail("params.teams", "is missing");
+  in.each(params, "objectives", "params.objectives",
+          [&](const toml::table& t, const std::string& at) {
+            Objective o;
+            o.kind = in.text(t, "kind", at + "kind");
+            if (t.contains("class")) o.job_class = in.text(t, "class", at + "class");
+            const auto optional = [&](const char* key, double fallback) {
+              return t.contains(key) ? in.number(t, key, at + key, 0, kMany) : fallback;
+            };
+            o.within = Seconds(optional("within_s", 0));
+            o.share = optional("share", 0);
+            o.times = optional("times", 1);
+            p.objectives.push_back(std::move(o));
+          });
+
+  const toml::table& workers = in.table(params, "workers", "params.workers");
+  const auto duration = [&](const toml::table& t, const char* key, const char* at, double least) {
+    return Seconds(in.number(t, key, std::string(at) + key, least, 86'400));
+  };
+  p.report = duration(workers, "report_s", "params.workers.", 0.01);
+  p.lease = duration(workers, "lease_s", "params.workers.", 0.1);
+  p.gang_wait = duration(workers, "gang_wait_s", "params.workers.", 0);
+  p.gang_peer = duration(workers, "gang_peer_s", "params.workers.", 0);
+  p.cancel = duration(workers, "cancel_s", "params.workers.", 0.1);
+  if (p.lease <= p.report) in.fail("params.workers.lease_s", "must be longer than report_s");
+
+  const toml::table& state = in.table(params, "state", "params.state");
+  p.state_rps = in.number(state, "rps", "params.state.rps", 1, kMany);
+  p.state_write_rps = in.number(state, "write_rps", "params.state.write_rps", 1, kMany);
+  p.value_bytes =
+      static_cast<size_t>(in.number(state, "value_kb", "params.state.value_kb", 6, 1e6) * 1024);
+  p.txn_ops = static_cast<size_t>(in.number(state, "txn_ops", "params.state.txn_ops", 3, 1e6));
+
+  const toml::table& cloud = in.table(params, "cloud", "params.cloud");
+  p.cloud_rps = in.number(cloud, "rps", "params.cloud.rps", 0.01, kMany);
+  p.list_lag = duration(cloud, "list_lag_s", "params.cloud.", 0);
+
+  const toml::table& quota = in.table(params, "quota", "params.quota");
+  p.cpu_share = in.number(quota, "cpu", "params.quota.cpu", 0.001, 1000);
+  p.memory_mb = in.number(quota, "memory_mb", "params.quota.memory_mb", 16, kMany);
+  p.max_connections = static_cast<uint32_t>(
+      in.number(quota, "max_connections", "params.quota.max_connections", 32, kMany));
+  return p;
+}
+
+namespace {
+
+struct Field {
+  double least;
+  double most;
+  std::function<void(Operator&, double)> set;
+  const char* unit;  // "" for a plain number
+  bool whole;
+};
+
+Field seconds(double least, double most, Seconds Operator::* at) {
+  return {least, most, [at](Operator& o, double v) { o.*at = Seconds(v); }, "s", false};
+}
+Field whole(double least, double most, uint32_t Operator::* at) {
+  return {least, most, [at](Operator& o, double v) { o.*at = static_cast<uint32_t>(v); }, "", true};
+}
+Field ratio(double least, double most, double Operator::* at) {
+  return {least, most, [at](Operator& o, double v) { o.*at = v; }, "", false};
+}
+
+const std::map<std::string, std::map<std::string, Field>>& fields() {
+  static const std::map<std::string, std::map<std::string, Field>> all = {
+      {"leadership", {{"ttl", seconds(1, 30, &Operator::leader_ttl)}}},
+      {"api",
+       {{"max-submissions", whole(1, 10'000, &Operator::max_submissions)},
+        {"max-polls", whole(1, 10'000, &Operator::max_polls)},
+        {"final-cache", whole(0, 1'000'000, &Operator::final_cache)}}},
+      {"fleet",
+       {{"idle-return", seconds(0, 86'400, &Operator::idle_return)},
+        {"boot-patience", ratio(1, 100, &Operator::boot_patience)},
+        {"lost-return", seconds(0, 86'400, &Operator::lost_return)},
+        {"refusal-pause", seconds(1, 3600, &Operator::refusal_pause)},
+        {"max-machines", whole(1, 100'000, &Operator::max_machines)},
+        {"faults-to-drain", whole(1, 1000, &Operator::faults_to_drain)}}},
+      {"scheduler",
+       {{"round-pause", seconds(0.01, 10, &Operator::round_pause)},
+        {"backoff-first", seconds(0.1, 3600, &Operator::backoff_first)},
+        {"backoff-most", seconds(1, 86'400, &Operator::backoff_most)},
+        {"failing-machines", whole(1, 1000, &Operator::failing_machines)}}},
+  };
+  return all;
+}
+
+}  // namespace
+
+Operator load_operator(const std::string& path) {
+  const std::string text = read_file(path);
+  const auto line_of = [&](ptrdiff_t offset) {
+    const auto end = text.begin() + std::clamp<ptrdiff_t>(offset, 0, std::ssize(text));
+    return std::to_string(1 + std::count(text.begin(), end, '\n'));
+  };
+  pugi::xml_document doc;
+  const auto parsed = doc.load_buffer(text.data(), text.size());
+  if (!parsed) throw Error(path + ":" + line_of(parsed.offset) + ": " + parsed.description());
+  const auto fail = [&](const pugi::xml_node& at, const std::string& what) -> void {
+    throw Error(path + ":" + line_of(at.offset_debug()) + ": " + what);
+  };
+  const pugi::xml_node root = doc.document_element();
+  if (std::string_view(root.name()) != "dunlinknot") {
+    fail(root, "the outermost element must be <dunlinknot>");
+  }
+  Operator out;
+  for (const pugi::xml_node group : root.children()) {
+    if (group.type() != pugi::node_element) continue;
+    const auto known = fields().find(group.name());
+    if (known == fields().end()) fail(group, "unknown group <" + std::string(group.name()) + ">");
+    for (const pugi::xml_node item : group.children()) {
+      if (item.type() != pugi::node_element) continue;
+      const std::string name = std::string(group.name()) + "/" + item.name();
+      const auto field = known->second.find(item.name());
+      if (field == known->second.end()) fail(item, "unknown setting " + name);
+      const Field& f = field->second;
+      const std::string unit = item.attribute("unit").as_string(f.unit);
+      if (unit != f.unit) fail(item, name + ": the unit must be \"" + f.unit + "\"");
+      std::istringstream value(item.text().as_string());
+      double v = 0;
+      std::string rest;
+      if (!(value >> v) || (value >> rest)) fail(item, name + ": must be a number");
+      if (f.whole && v != std::floor(v)) fail(item, name + ": must be a whole number");
+      if (!std::isfinite(v) || v < f.least || v > f.most) {
+        std::ostringstream range;
+        range << name << ": must be between " << f.least << " and " << f.most;
+        fail(item, range.str());
+      }
+      f.set(out, v);
+    }
+  }
+  return out;
+}
+
+}  // namespace dunlinknot::settings
--- /dev/null
+++ b/src/dunlinknot/state/client.cpp
@@ -0,0 +1,271 @@
+#include "dunlinknot/state/client.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace dunlinknot::state {
+
+namespace {
+
+using wire::Document;
+using wire::View;
+using wire::Writer;
+
+constexpr size_t kListBody = 600 * 1024;
+constexpr size_t kWatchBody = 4 * 1024 * 1024;
+
+std::shared_ptr<Document> parse(const std::string& body) {
+  auto d = Document::parse(body);
+  if (!d) return nullptr;
+  return std::make_shared<Document>(std::move(*d));
+}
+
+std::optional<Item> read_item(View v) {
+  const auto key = v["key"].text();
+  const auto stamp = v["stamp"].count();
+  if (!key || !stamp) return std::nullopt;
+  return Item{std::string(*key), v["v"], *stamp, v["tenancy"].count().value_or(0)};
+}
+
+// A reply that should not have come as it did tells nothing about what was done.
+void log_odd(const char* what, int status) {
+  spdlog::info("state service: unreadable answer to {} (status {}), taken as unknown", what, status);
+}
+
+}  // namespace
+
+bool TxnResult::guard_failed(std::string_view key) const {
+  return std::find(failed.begin(), failed.end(), key) != failed.end();
+}
+
+Client::Client(Loop& loop, http::Transport& transport, http::Endpoint at, double rps,
+               double write_rps)
+    : loop_(loop),
+      transport_(transport),
+      at_(at),
+      requests_(rps, rps),
+      writes_(write_rps, write_rps) {}
+
+bool Client::has_room(double requests, double writes) {
+  const Instant now = loop_.now();
+  return requests_.level(now) >= requests && writes_.level(now) >= writes;
+}
+
+Task<http::Reply> Client::call(std::string method, std::string target, std::string body,
+                               Nanos within, size_t max_body, double writes, Importance how) {
+  const Instant sent = loop_.now();
+  if (how == Importance::essential) {
+    requests_.force(sent);
+    if (writes > 0) writes_.force(sent, writes);
+  } else {
+    if (requests_.level(sent) < 1 || (writes > 0 && writes_.level(sent) < std::min(writes, 10.0))) {
+      ++throttled_;
+      http::Reply refused;
+      refused.outcome = Outcome::refused;
+      refused.status = 429;
+      co_return refused;
+    }
+    requests_.force(sent);
+    if (writes > 0) writes_.force(sent, writes);
+  }
+  http::Call c;
+  c.to = at_;
+  c.method = std::move(method);
+  c.target = std::move(target);
+  c.body = std::move(body);
+  c.deadline = sent + within;
+  c.max_body = max_body;
+  http::Reply reply = co_await transport_.exchange(std::move(c));
+  if (reply.outcome == Outcome::ok) {
+    if (reply.status == 429 || reply.status == 503) {
+      reply.outcome = Outcome::refused;
+      if (reply.status == 429) ++throttled_;
+    } else {
+      ever_served_ = true;
+      last_served_ = loop_.now();
+      last_served_sent_ = std::max(last_served_sent_, sent);
+    }
+  }
+  co_return reply;
+}
+
+Task<GetResult> Client::get(std::string key, Nanos within, Importance how) {
+  GetResult out;
+  http::Reply r = co_await call("GET", "/keys/" + key, "", within, 64 * 1024, 0, how);
+  out.outcome = r.outcome;
+  if (r.outcome != Outcome::ok) co_return out;
+  out.document = parse(r.body);
+  if (out.document && r.status == 200) {
+    if (auto item = read_item(out.document->root())) {
+      out.found = true;
+      out.item = std::move(*item);
+      co_return out;
+    }
+  } else if (out.document && r.status == 404) {
+    if (const auto rev = out.document->root()["ledgerRev"].count()) {
+      out.revision = *rev;
+      co_return out;
+    }
+  }
+  log_odd("a read", r.status);
+  out.outcome = Outcome::unknown;
+  co_return out;
+}
+
+Task<ListResult> Client::list(std::string prefix, std::string after, Nanos within) {
+  ListResult out;
+  std::string target = "/keys?starts=" + prefix;
+  if (!after.empty()) target += "&since=" + after;
+  target += "&most=500";
+  http::Reply r =
+      co_await call("GET", target, "", within, kListBody, 0, Importance::essential);
+  out.outcome = r.outcome;
+  if (r.outcome != Outcome::ok) co_return out;
+  out.document = parse(r.body);
+  const View root = out.document ? out.document->root() : View();
+  const auto rev = root["ledgerRev"].count();
+  if (r.status != 200 || !rev || !root["rows"].is_list()) {
+    log_odd("a listing", r.status);
+    out.outcome = Outcome::unknown;
+    co_return out;
+  }
+  out.revision = *rev;
+  out.more = root["more"].flag().value_or(false);
+  const View rows = root["rows"];
+  for (size_t i = 0; i < rows.size(); ++i) {
+    auto item = read_item(rows.at(i));
+    if (!item) {
+      log_odd("a listing", r.status);
+      out.outcome = Outcome::unknown;
+      co_return out;
+    }
+    out.items.push_back(std::move(*item));
+  }
+  co_return out;
+}
+
+Task<TxnResult> Client::commit(Txn txn, Nanos within, Importance how) {
+  TxnResult out;
+  Writer w;
+  w.map(2).key("guards").list(txn.guards.size());
+  for (const auto& g : txn.guards) w.map(2).key("key").text(g.key).key("stamp").count(g.stamp);
+  w.key("writes").list(txn.writes.size());
+  for (const auto& op : txn.writes) {
+    if (op.value.empty()) {
+      w.map(1).key("delete").text(op.key);
+    } else {
+      w.map(op.lease ? 3 : 2).key("put").text(op.key).key("v").raw(op.value);
+      if (op.lease) w.key("tenancy").count(op.lease);
+    }
+  }
+  http::Reply r = co_await call("POST", "/multi", w.take(), within, 64 * 1024,
+                                static_cast<double>(txn.writes.size()), how);
+  out.outcome = r.outcome;
+  if (r.outcome != Outcome::ok) co_return out;
+  const auto doc = parse(r.body);
+  const View root = doc ? doc->root() : View();
+  const auto rev = root["ledgerRev"].count();
+  if (r.status == 200 && rev) {
+    out.applied = true;
+    out.revision = *rev;
+  } else if (r.status == 409 && root["failed"].is_list()) {
+    out.revision = rev.value_or(0);
+    const View failed = root["failed"];
+    for (size_t i = 0; i < failed.size(); ++i) {
+      if (const auto k = failed.at(i).text()) out.failed.emplace_back(*k);
+    }
+  } else if (r.status == 400) {
+    const std::string error(root["error"].text().value_or("?"));
+    out.lease_gone = error == "no such lease";
+    if (!out.lease_gone) spdlog::error("state service refused a transaction: {}", error);
+    out.outcome = Outcome::refused;
+  } else {
+    log_odd("a transaction", r.status);
+    out.outcome = Outcome::unknown;
+  }
+  co_return out;
+}
+
+Task<LeaseResult> Client::grant(Millis ttl, Nanos within) {
+  LeaseResult out;
+  Writer w;
+  w.map(1).key("ttlMs").count(static_cast<uint64_t>(ttl.count()));
+  http::Reply r =
+      co_await call("POST", "/leases", w.take(), within, 4096, 0, Importance::essential);
+  out.outcome = r.outcome;
+  if (r.outcome != Outcome::ok) co_return out;
+  const auto doc = parse(r.body);
+  const auto id = doc ? doc->root()["tenancy"].count() : std::nullopt;
+  if (r.status != 200 || !id) {
+    log_odd("a lease request", r.status);
+    out.outcome = Outcome::unknown;
+    co_return out;
+  }
+  out.lease = *id;
+  co_return out;
+}
+
+Task<LeaseResult> Client::extend(uint64_t lease, Nanos within) {
+  LeaseResult out;
+  out.lease = lease;
+  http::Reply r = co_await call("POST", "/leases/" + std::to_string(lease) + "/extend", "", within,
+                                4096, 0, Importance::essential);
+  out.outcome = r.outcome;
+  if (r.outcome == Outcome::ok) out.gone = r.status == 404;
+  if (r.outcome == Outcome::ok && r.status != 200 && r.status != 404) {
+    log_odd("a renewal", r.status);
+    out.outcome = Outcome::unknown;
+  }
+  co_return out;
+}
+
+Task<LeaseResult> Client::revoke(uint64_t lease, Nanos within) {
+  LeaseResult out;
+  http::Reply r = co_await call("DELETE", "/leases/" + std::to_string(lease), "", within, 4096, 0,
+                                Importance::essential);
+  out.outcome = r.outcome;
+  co_return out;
+}
+
+Task<WatchResult> Client::watch(std::string prefix, uint64_t since, Millis block) {
+  WatchResult out;
+  const std::string target = "/changes?starts=" + prefix + "&since=" + std::to_string(since) +
+                             "&blockMs=" + std::to_string(block.count());
+  const Nanos within = block + std::chrono::seconds(3);
+  http::Reply r = co_await call("GET", target, "", within, kWatchBody, 0, Importance::essential);
+  out.outcome = r.outcome;
+  if (r.outcome != Outcome::ok) co_return out;
+  if (r.status == 410) {
+    out.too_old = true;
+    co_return out;
+  }
+  out.document = parse(r.body);
+  const View root = out.document ? out.document->root() : View();
+  const auto rev = root["ledgerRev"].count();
+  if (r.status != 200 || !rev) {
+    log_odd("a watch", r.status);
+    out.outcome = Outcome::unknown;
+    co_return out;
+  }
+  out.revision = *rev;
+  const View news = root["news"];
+  for (size_t i = 0; i < news.size(); ++i) {
+    const View n = news.at(i);
+    Change c;
+    if (const auto put = n["put"].text()) {
+      c.key = *put;
+    } else if (const auto gone = n["delete"].text()) {
+      c.key = *gone;
+      c.deleted = true;
+    } else {
+      continue;
+    }
+    c.value = n["v"];
+    c.stamp = n["stamp"].count().value_or(0);
+    out.changes.push_back(std::move(c));
+  }
+  co_return out;
+}
+
+}  // namespace dunlinknot::state
--- /dev/null
+++ b/src/dunlinknot/state/client.hpp
@@ -0,0 +1,124 @@
+// The state service: typed calls, a deadline on each, a budget below the service's limits, and an
+// outcome that tells "not carried out" from "may have been, or may yet be".
+#pragma once
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "dunlinknot/http/client.hpp"
+#include "dunlinknot/runtime/budget.hpp"
+#include "dunlinknot/wire/pack.hpp"
+
+namespace dunlinknot::state {
+
+using http::Outcome;
+
+struct Item {
+  std::string key;
+  wire::View value;
+  uint64_t stamp = 0;
+  uint64_t lease = 0;
+};
+
+struct GetResult {
+  Outcome outcome = Outcome::unknown;
+  bool found = false;
+  Item item;
+  uint64_t revision = 0;
+  std::shared_ptr<wire::Document> document;  // owns what `item` points into
+};
+
+struct ListResult {
+  Outcome outcome = Outcome::unknown;
+  std::vector<Item> items;
+  bool more = false;
+  uint64_t revision = 0;
+  std::shared_ptr<wire::Document> document;
+};
+
+struct Guard {
+  std::string key;
+  uint64_t stamp = 0;  // 0: must not exist
+};
+
+struct Write {
+  std::string key;
+  std::string value;  // packed; empty: delete
+  uint64_t lease = 0;
+};
+
+struct Txn {
+  std::vector<Guard> guards;
+  std::vector<Write> writes;
+};
+
+struct TxnResult {
+  Outcome outcome = Outcome::unknown;
+  bool applied = false;
+  bool lease_gone = false;
+  uint64_t revision = 0;
+  std::vector<std::string> failed;  // keys whose guard did not hold
+  bool guard_failed(std::string_view key) const;
+};
+
+struct LeaseResult {
+  Outcome outcome = Outcome::unknown;
+  bool gone = false;
+  uint64_t lease = 0;
+};
+
+struct Change {
+  std::string key;
+  bool deleted = false;
+  wire::View value;
+  uint64_t stamp = 0;
+};
+
+struct WatchResult {
+  Outcome outcome = Outcome::unknown;
+  bool too_old = false;
+  std::vector<Change> changes;
+  uint64_t revision = 0;
+  std::shared_ptr<wire::Document> document;
+};
+
+// How a call may use the budget. `essential` calls (leases, leadership) go through in any case.
+enum class Importance { normal, essential };
+
+class Client {
+ public:
+  Client(Loop& loop, http::Transport& transport, http::Endpoint at, double rps, double write_rps);
+
+  Task<GetResult> get(std::string key, Nanos within, Importance how = Importance::normal);
+  Task<ListResult> list(std::string prefix, std::string after, Nanos within);
+  Task<TxnResult> commit(Txn txn, Nanos within, Importance how = Importance::normal);
+  Task<LeaseResult> grant(Millis ttl, Nanos within);
+  Task<LeaseResult> extend(uint64_t lease, Nanos within);
+  Task<LeaseResult> revoke(uint64_t lease, Nanos within);
+  Task<WatchResult> watch(std::string prefix, uint64_t since, Millis block);
+
+  // When the service last served us: when we had the answer, and when that request was sent.
+  bool ever_served() const { return ever_served_; }
+  Instant last_served() const { return last_served_; }
+  Instant last_served_sent() const { return last_served_sent_; }
+  uint64_t throttled() const { return throttled_; }
+  // Room for API calls: leaves the last part of the budget to the leader's own work.
+  bool has_room(double requests, double writes);
+
+ private:
+  Task<http::Reply> call(std::string method, std::string target, std::string body, Nanos within,
+                         size_t max_body, double writes, Importance how);
+
+  Loop& loop_;
+  http::Transport& transport_;
+  http::Endpoint at_;
+  Budget requests_;
+  Budget writes_;
+  bool ever_served_ = false;
+  Instant last_served_{};
+  Instant last_served_sent_{};
+  uint64_t throttled_ = 0;
+};
+
+}  // namespace dunlinknot::state
--- /dev/null
+++ b/src/dunlinknot/wire/records.cpp
@@ -0,0 +1,161 @@
+#include "dunlinknot/wire/records.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace dunlinknot::wire {
+
+namespace {
+std::string join(std::string_view a, std::string_view b) {
+  std::string s(a);
+  s.append(b);
+  return s;
+}
+constexpr std::string_view kHex = "0123456789abcdef";
+}  // namespace
+
+std::string job_key(std::string_view id) { return join(kJobPrefix, id); }
+std::string final_key(std::string_view id) { return join(kFinalPrefix, id); }
+std::string done_key(std::string_view id, uint32_t chunk) {
+  return join(kDonePrefix, id) + "/" + std::to_string(chunk);
+}
+std::string host_key(std::string_view machine) { return join(kHostPrefix, machine); }
+
+std::string_view after_prefix(std::string_view key, std::string_view prefix) {
+  return key.starts_with(prefix) ? key.substr(prefix.size()) : std::string_view();
+}
+
+std::optional<std::pair<std::string, uint32_t>> parse_done_key(std::string_view key) {
+  const std::string_view rest = after_prefix(key, kDonePrefix);
+  const size_t slash = rest.find('/');
+  if (slash == std::string_view::npos) return std::nullopt;
+  uint32_t n = 0;
+  const auto r = std::from_chars(rest.data() + slash + 1, rest.data() + rest.size(), n);
+  if (r.ec != std::errc{} || r.ptr != rest.data() + rest.size()) return std::nullopt;
+  return std::pair{std::string(rest.substr(0, slash)), n};
+}
+
+std::string write_job_record(const JobRecord& r) {
+  Writer w;
+  w.map(2).key("at").count(static_cast<uint64_t>(r.submitted.time_since_epoch().count()));
+  w.key("job");
+  write_job(w, r.spec);
+  return w.take();
+}
+
+std::optional<JobRecord> read_job_record(View v) {
+  const auto at = v["at"].count();
+  std::string why;
+  auto spec = read_job(v["job"], why);
+  if (!at || !spec) return std::nullopt;
+  return JobRecord{std::move(*spec), WallTime(Millis(static_cast<int64_t>(*at)))};
+}
+
+std::string write_final(const FinalRecord& r) {
+  Writer w;
+  w.map(2).key("cancelled").flag(r.cancelled).key("tasks").count(r.tasks);
+  return w.take();
+}
+
+std::optional<FinalRecord> read_final(View v) {
+  const auto c = v["cancelled"].flag();
+  if (!c) return std::nullopt;
+  return FinalRecord{*c, static_cast<uint32_t>(v["tasks"].count().value_or(0))};
+}
+
+std::string write_leader(const LeaderRecord& r) {
+  Writer w;
+  w.map(2).key("node").text(r.node).key("epoch").count(r.epoch);
+  return w.take();
+}
+
+std::optional<LeaderRecord> read_leader(View v) {
+  const auto node = v["node"].text();
+  const auto epoch = v["epoch"].count();
+  if (!node || !epoch) return std::nullopt;
+  return LeaderRecord{std::string(*node), *epoch};
+}
+
+std::string write_epoch(uint64_t n) {
+  Writer w;
+  w.map(1).key("n").count(n);
+  return w.take();
+}
+
+std::optional<uint64_t> read_epoch(View v) { return v["n"].count(); }
+
+std::string write_done_chunk(const std::vector<bool>& done, uint32_t chunk) {
+  const size_t begin = size_t{chunk} * kChunkTasks;
+  const size_t end = std::min(done.size(), begin + kChunkTasks);
+  std::string bits;
+  for (size_t i = begin; i < end; i += 4) {
+    unsigned nibble = 0;
+    for (size_t k = 0; k < 4 && i + k < end; ++k) nibble |= (done[i + k] ? 1u : 0u) << k;
+    bits.push_back(kHex[nibble]);
+  }
+  Writer w;
+  w.map(1).key("bits").text(bits);
+  return w.take();
+}
+
+bool read_done_chunk(View v, uint32_t chunk, std::vector<bool>& into) {
+  const auto bits = v["bits"].text();
+  if (!bits) return false;
+  const size_t begin = size_t{chunk} * kChunkTasks;
+  for (size_t i = 0; i < bits->size(); ++i) {
+    const size_t nibble = kHex.find((*bits)[i]);
+    if (nibble == std::string_view::npos) return false;
+    for (size_t k = 0; k < 4; ++k) {
+      const size_t at = begin + i * 4 + k;
+      if ((nibble >> k & 1) != 0 && at < into.size()) into[at] = true;
+    }
+  }
+  return true;
+}
+
+std::string write_host(const HostRecord& r) {
+  Writer w;
+  w.map(5).key("rig").text(r.type).key("yard").text(r.zone).key("address").text(r.address);
+  w.key("spot").flag(r.spot).key("jobs").list(r.groups.size());
+  for (const auto& g : r.groups) {
+    w.map(7).key("job").text(g.job).key("crew").text(g.team).key("gang").flag(g.gang);
+    w.key("cpus").amount(g.need.cpus).key("gpus").amount(g.need.gpus);
+    w.key("gb").amount(g.need.memory_gb).key("on").list(g.tasks.size());
+    for (const auto& [index, attempt] : g.tasks) w.list(2).count(index).count(attempt);
+  }
+  return w.take();
+}
+
+std::optional<HostRecord> read_host(View v) {
+  const auto type = v["rig"].text();
+  const auto zone = v["yard"].text();
+  if (!type || !zone || !v["jobs"].is_list()) return std::nullopt;
+  HostRecord r;
+  r.type = *type;
+  r.zone = *zone;
+  r.address = v["address"].text().value_or("");
+  r.spot = v["spot"].flag().value_or(false);
+  for (size_t i = 0; i < v["jobs"].size(); ++i) {
+    const View g = v["jobs"].at(i);
+    HostRecord::Group out;
+    const auto job = g["job"].text();
+    if (!job) return std::nullopt;
+    out.job = *job;
+    out.team = g["crew"].text().value_or("");
+    out.gang = g["gang"].flag().value_or(false);
+    out.need = Resources{g["cpus"].amount().value_or(0), g["gpus"].amount().value_or(0),
+                         g["gb"].amount().value_or(0)};
+    const View on = g["on"];
+    for (size_t k = 0; k < on.size(); ++k) {
+      if (on.at(k).size() != 2) return std::nullopt;
+      const auto index = on.at(k).at(0).count();
+      const auto attempt = on.at(k).at(1).count();
+      if (!index || !attempt) return std::nullopt;
+      out.tasks.emplace_back(static_cast<uint32_t>(*index), *attempt);
+    }
+    r.groups.push_back(std::move(out));
+  }
+  return r;
+}
+
+}  // namespace dunlinknot::wire
--- /dev/null
+++ b/src/dunlinknot/wire/records.hpp
@@ -0,0 +1,76 @@
+// What the service keeps in the state service, and under which keys.
+//
+//   leader            lease-bound: who leads            epoch      the number of leaderships so far
+//   job/ID            an open job                       final/ID   how a job ended, kept forever
+//   done/ID/n         which tasks of chunk n are done   host/VM    what the leader booked on VM
+//   catalog           the machine types last seen
+#pragma once
+#include <map>
+
+#include "dunlinknot/wire/messages.hpp"
+
+namespace dunlinknot::wire {
+
+inline constexpr std::string_view kLeaderKey = "leader";
+inline constexpr std::string_view kEpochKey = "epoch";
+inline constexpr std::string_view kCatalogKey = "catalog";
+inline constexpr std::string_view kJobPrefix = "job/";
+inline constexpr std::string_view kFinalPrefix = "final/";
+inline constexpr std::string_view kDonePrefix = "done/";
+inline constexpr std::string_view kHostPrefix = "host/";
+
+std::string job_key(std::string_view id);
+std::string final_key(std::string_view id);
+std::string done_key(std::string_view id, uint32_t chunk);
+std::string host_key(std::string_view machine);
+std::string_view after_prefix(std::string_view key, std::string_view prefix);
+std::optional<std::pair<std::string, uint32_t>> parse_done_key(std::string_view key);
+
+struct JobRecord {
+  JobSpec spec;
+  WallTime submitted{};
+};
+std::string write_job_record(const JobRecord& r);
+std::optional<JobRecord> read_job_record(View v);
+
+struct FinalRecord {
+  bool cancelled = false;
+  uint32_t tasks = 0;
+};
+std::string write_final(const FinalRecord& r);
+std::optional<FinalRecord> read_final(View v);
+
+struct LeaderRecord {
+  std::string node;
+  uint64_t epoch = 0;
+};
+std::string write_leader(const LeaderRecord& r);
+std::optional<LeaderRecord> read_leader(View v);
+std::string write_epoch(uint64_t n);
+std::optional<uint64_t> read_epoch(View v);
+
+// A chunk covers kChunkTasks tasks: 2 KiB of text, far inside the smallest value limit.
+inline constexpr uint32_t kChunkTasks = 8192;
+std::string write_done_chunk(const std::vector<bool>& done, uint32_t chunk);
+bool read_done_chunk(View v, uint32_t chunk, std::vector<bool>& into);
+
+// What is booked on a machine. Team and amounts stand here too, so that a booking still counts
+// against its team's limit when its job is over and its record gone.
+struct HostRecord {
+  struct Group {
+    std::string job;
+    std::string team;
+    Resources need;
+    bool gang = false;
+    std::vector<std::pair<uint32_t, uint64_t>> tasks;  // index, attempt
+  };
+  std::string type;
+  std::string zone;
+  std::string address;
+  bool spot = false;
+  std::vector<Group> groups;
+};
+std::string write_host(const HostRecord& r);
+std::optional<HostRecord> read_host(View v);
+
+}  // namespace dunlinknot::wire
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,90 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "dunlinknot/node/daemon.hpp"
+#include "dunlinknot/settings/settings.hpp"
+
+namespace {
+
+using namespace dunlinknot;
+
+int set_up_log() {
+  const char* level = std::getenv("LOG_LEVEL");
+  const std::string_view text = level ? level : "info";
+  auto logger = std::make_shared<spdlog::logger>(
+      "dunlinknot", std::make_shared<spdlog::sinks::stderr_sink_st>());
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  spdlog::set_default_logger(logger);
+  if (text == "error") {
+    spdlog::set_level(spdlog::level::err);
+  } else if (text == "debug") {
+    spdlog::set_level(spdlog::level::debug);
+  } else if (text == "info" || text.empty()) {
+    spdlog::set_level(spdlog::level::info);
+  } else {
+    std::cerr << "dunlinknot: LOG_LEVEL must be error, info or debug, not \"" << text << "\"\n";
+    return 2;
+  }
+  return 0;
+}
+
+int serve(const settings::Platform& platform, const settings::Operator& op) {
+  SystemClock clock;
+  Loop loop(clock);
+  http::Client transport(loop, 12, std::chrono::seconds(20));
+  const auto seed = static_cast<uint32_t>(std::hash<std::string>{}(platform.node) ^
+                                          static_cast<size_t>(clock.wall().time_since_epoch().count()));
+  node::Daemon daemon(loop, platform, op, transport, seed);
+  daemon.start();
+  spdlog::info("dunlinknot {} serves as {} on {}", DUNLINKNOT_VERSION, platform.node,
+               platform.listen.text());
+  loop.run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  CLI::App app{"dunlinknot, a cluster scheduler: one controller of the service"};
+  app.name("dunlinknot");
+  app.set_version_flag("--version", std::string("dunlinknot ") + DUNLINKNOT_VERSION);
+  app.require_subcommand(1);
+  std::string config, operator_file;
+  const auto files = [&](CLI::App* c) {
+    c->add_option("--config", config, "The platform's settings (TOML)")->required();
+    c->add_option("--operator", operator_file, "The operators' own settings (XML)");
+  };
+  CLI::App* serve_command = app.add_subcommand("serve", "Runs this controller until it is killed");
+  CLI::App* check_command =
+      app.add_subcommand("check-config", "Checks the settings and says what is wrong with them");
+  files(serve_command);
+  files(check_command);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::Success& e) {
+    return app.exit(e);
+  } catch (const CLI::ParseError& e) {
+    std::cerr << "dunlinknot: " << e.what() << " (see dunlinknot --help)\n";
+    return 2;
+  }
+  try {
+    const settings::Platform platform = settings::load_platform(config);
+    const settings::Operator op =
+        operator_file.empty() ? settings::Operator{} : settings::load_operator(operator_file);
+    if (check_command->parsed()) {
+      std::cout << "the settings are fine\n";
+      return 0;
+    }
+    if (const int bad = set_up_log()) return bad;
+    return serve(platform, op);
+  } catch (const std::exception& e) {
+    std::cerr << "dunlinknot: " << e.what() << "\n";
+    return 1;
+  }
+}
