--- a/src/dunlinknot/cluster/ledger.cpp
+++ b/src/dunlinknot/cluster/ledger.cpp
@@ -93,11 +93,9 @@
     (void)co_await domain_.store_hosts.wait_until(next_trailing);
     const bool trailing = domain_.loop.now() >= next_trailing;
     if (trailing) next_trailing = domain_.loop.now() + kTrailing;
-    while (domain_.in_reign(reign) && co_await store_some_hosts(reign, trailing)) {
-    }
+    for (bool more = true; more && domain_.in_reign(reign);) more = co_await store_some_hosts(reign, trailing);
     if (trailing) {
-      while (domain_.in_reign(reign) && co_await delete_some_records(reign)) {
-      }
+      for (bool more = true; more && domain_.in_reign(reign);) more = co_await delete_some_records(reign);
     }
   }
 }
@@ -245,8 +243,7 @@
 Task<void> Ledger::store_done(uint64_t reign) {
   while (domain_.in_reign(reign)) {
     (void)co_await domain_.store_done.wait_until(domain_.loop.now() + std::chrono::seconds(2));
-    while (domain_.in_reign(reign) && co_await store_some_done(reign)) {
-    }
+    for (bool more = true; more && domain_.in_reign(reign);) more = co_await store_some_done(reign);
   }
 }
 
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -62,6 +62,10 @@
       [this](http::Request r) { return handle(std::move(r)); });
   loop_.spawn(server_->serve());
   peers_.start();
+  start_parts();
+}
+
+void Daemon::start_parts() {
   loop_.spawn(learn_catalog());
   loop_.spawn(elector_.run());
   loop_.spawn(report_counts());
--- a/src/dunlinknot/node/daemon.hpp
+++ b/src/dunlinknot/node/daemon.hpp
@@ -17,10 +17,14 @@
  public:
   Daemon(Loop& loop, const settings::Platform& platform, const settings::Operator& op,
          http::Transport& transport, uint32_t seed);
-  // Opens the listening sockets; throws when that fails.
+  // Opens the listening sockets (throws when that fails) and starts all parts.
   void start();
+  // The parts alone, without any socket of their own.
+  void start_parts();
 
   Task<http::Response> handle(http::Request request);
+  const leadership::Elector& elector() const { return elector_; }
+  cluster::Domain& domain() { return domain_; }
 
  private:
   void gained(const leadership::Reign& reign);
--- a/src/dunlinknot/runtime/loop.cpp
+++ b/src/dunlinknot/runtime/loop.cpp
@@ -16,6 +16,10 @@
 // The outermost frame of a spawned coroutine: it starts at once, owns the task and frees itself.
 struct Detached {
   struct promise_type {
+    Loop& loop;
+    promise_type(Loop& l, Task<void>&) : loop(l) { loop.spawned().insert(frame()); }
+    ~promise_type() { loop.spawned().erase(frame()); }
+    void* frame() { return std::coroutine_handle<promise_type>::from_promise(*this).address(); }
     Detached get_return_object() { return {}; }
     std::suspend_never initial_suspend() noexcept { return {}; }
     std::suspend_never final_suspend() noexcept { return {}; }
@@ -24,7 +28,7 @@
   };
 };
 
-Detached run_detached(Task<void> task) {
+Detached run_detached([[maybe_unused]] Loop& loop, Task<void> task) {
   try {
     co_await task;
   } catch (const std::exception& e) {
@@ -41,11 +45,21 @@
   }
 }
 
+void Loop::abandon() {
+  abandoned_ = true;
+  ready_.clear();
+  timers_.clear();
+  fds_.clear();
+  while (!spawned_.empty()) std::coroutine_handle<>::from_address(*spawned_.begin()).destroy();
+  abandoned_ = false;
+}
+
 Loop::~Loop() {
+  abandon();
   if (epoll_ >= 0) ::close(epoll_);
 }
 
-void Loop::spawn(Task<void> task) { run_detached(std::move(task)); }
+void Loop::spawn(Task<void> task) { run_detached(*this, std::move(task)); }
 
 void Loop::arm(Waiter& w) {
   if (w.deadline != Instant::max()) {
@@ -92,6 +106,7 @@
 }
 
 void Loop::forget_fd(int fd) {
+  if (abandoned_) return;  // closing the socket takes it off epoll as well
   FdSlots& s = fds_[static_cast<size_t>(fd)];
   if (s.reader) wake(*s.reader, true);
   if (s.writer) wake(*s.writer, true);
--- a/src/dunlinknot/runtime/loop.hpp
+++ b/src/dunlinknot/runtime/loop.hpp
@@ -37,6 +37,11 @@
   // Runs a coroutine on its own. An exception that escapes one is logged and ends only that one.
   void spawn(Task<void> task);
   void post(std::coroutine_handle<> h) { ready_.push_back(h); }
+  // Ends all coroutines where they stand. To be called while what they refer to still exists.
+  void abandon();
+
+  // The frames of spawned coroutines, kept by the frames themselves.
+  std::set<void*>& spawned() { return spawned_; }
 
   struct [[nodiscard]] Sleep {
     Loop& loop;
@@ -89,6 +94,8 @@
   Clock& clock_;
   int epoll_ = -1;
   bool stopping_ = false;
+  bool abandoned_ = false;
+  std::set<void*> spawned_;
   std::deque<std::coroutine_handle<>> ready_;
   std::set<std::pair<Instant, Waiter*>> timers_;
   std::deque<FdSlots> fds_;
--- a/src/dunlinknot/wire/pack.hpp
+++ b/src/dunlinknot/wire/pack.hpp
@@ -20,6 +20,11 @@
   bool is_list() const { return o_ && o_->type == msgpack::type::ARRAY; }
   size_t size() const { return is_list() ? o_->via.array.size : 0; }
   View at(size_t i) const { return View(&o_->via.array.ptr[i]); }
+  size_t map_size() const { return is_map() ? o_->via.map.size : 0; }
+  std::string_view key_at(size_t i) const {
+    return View(&o_->via.map.ptr[i].key).text().value_or(std::string_view());
+  }
+  View value_at(size_t i) const { return View(&o_->via.map.ptr[i].val); }
 
   std::optional<std::string_view> text() const;
   std::optional<uint64_t> count() const;    // a whole number of at least 0
--- /dev/null
+++ b/tests/support.hpp
@@ -0,0 +1,230 @@
+// A small scripted world for the tests: a clock moved by hand, a state service with guards, leases,
+// watches and late transactions, a cloud whose list lags, and workers that keep the protocol.
+#pragma once
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "dunlinknot/http/client.hpp"
+#include "dunlinknot/node/daemon.hpp"
+#include "dunlinknot/runtime/loop.hpp"
+#include "dunlinknot/settings/settings.hpp"
+#include "dunlinknot/wire/records.hpp"
+
+namespace dunlinknot::test {
+
+using std::chrono::seconds;
+
+class FakeClock final : public Clock {
+ public:
+  Instant now() const override { return now_; }
+  WallTime wall() const override {
+    return WallTime(Millis(1'700'000'000'000)) +
+           std::chrono::duration_cast<Millis>(now_ - Instant(seconds(1000)));
+  }
+  void set(Instant t) { now_ = t; }
+
+ private:
+  Instant now_{seconds(1000)};
+};
+
+// Moves time forward from timer to timer; nothing sleeps.
+class World {
+ public:
+  World() : loop(clock, false) {}
+  FakeClock clock;
+  Loop loop;
+
+  void run_for(Nanos d) {
+    const Instant end = clock.now() + d;
+    for (;;) {
+      loop.run_ready();
+      const Instant next = loop.next_timer();
+      if (next > end) break;
+      clock.set(std::max(next, clock.now()));
+      loop.fire_due();
+    }
+    clock.set(end);
+    loop.run_ready();
+  }
+  // Runs a task to its end (within a bound) and returns what it gave.
+  template <class T>
+  T get(Task<T> task, Nanos within = seconds(60)) {
+    auto out = std::make_shared<std::optional<T>>();
+    loop.spawn(store(std::move(task), out));
+    const Instant end = clock.now() + within;
+    while (!*out && clock.now() < end) run_for(Millis(5));
+    if (!*out) throw std::runtime_error("the task did not end in time");
+    return std::move(**out);
+  }
+
+ private:
+  template <class T>
+  static Task<void> store(Task<T> task, std::shared_ptr<std::optional<T>> out) {
+    out->emplace(co_await task);
+  }
+};
+
+// What happens to one call on its way.
+enum class Fate { normal, refuse, lose_request, lose_reply, apply_late };
+
+class StateService {
+ public:
+  explicit StateService(Loop& loop) : loop_(loop) {}
+  Task<http::Reply> serve(http::Call call);
+
+  bool outage = false;
+  std::function<Fate(const http::Call&)> fate;  // asked for each call
+  Nanos late_by = seconds(10);
+  uint64_t requests = 0;
+  size_t max_value = 0, max_writes = 0;  // the largest seen
+
+  struct Entry {
+    std::string value;  // packed
+    uint64_t stamp = 0;
+    uint64_t lease = 0;
+  };
+  std::map<std::string, Entry> data;
+  void put(const std::string& key, std::string value);  // as another client would
+  void erase(const std::string& key);
+
+ private:
+  struct Lease {
+    Millis ttl;
+    Instant ends;
+  };
+  struct Event {
+    uint64_t revision;
+    std::string key;
+    bool deleted;
+    std::string value;
+  };
+  void expire();
+  http::Reply multi(wire::View root);
+  Task<void> multi_later(std::string body);
+  Task<http::Reply> changes(std::string target);
+  void note(std::string key, bool deleted, std::string value);
+
+  Loop& loop_;
+  uint64_t revision_ = 1;
+  uint64_t next_lease_ = 1;
+  std::map<uint64_t, Lease> leases_;
+  std::vector<Event> events_;
+};
+
+class CloudService {
+ public:
+  explicit CloudService(Loop& loop) : loop_(loop) {}
+  Task<http::Reply> serve(http::Call call);
+
+  struct Machine {
+    std::string id, type, zone;
+    bool spot = false;
+    Instant since{};
+    bool gone = false;
+    Instant gone_at{};
+  };
+  std::vector<MachineType> types;
+  std::map<std::string, uint32_t> capacity;  // "type/zone/spot|ordinary"; absent: 0
+  bool trouble = false;
+  bool lose_rental_replies = false;
+  Nanos lag = seconds(8);
+  std::map<std::string, Machine> machines;
+  std::map<std::string, std::vector<std::string>> answered;  // by request name
+  uint64_t rentals = 0, refusals = 0;
+  std::function<void(const Machine&)> on_rented;
+  std::function<void(const std::string&)> on_deleted;
+  std::vector<std::string> deletions;
+
+ private:
+  Loop& loop_;
+  uint64_t next_ = 1;
+};
+
+// A worker that keeps to the protocol: tokens, sessions, leases, dropped responses.
+class Worker {
+ public:
+  struct Running {
+    TaskRef task;
+    uint64_t attempt;
+    TaskState state;
+    ExitCause cause = ExitCause::none;
+    bool saved = false;
+    Instant since{};
+    Instant ends{};
+  };
+  Worker(Loop& loop, std::string id, const MachineType& type, std::string zone, bool spot,
+         std::string address, Nanos lease);
+
+  Task<void> run(std::function<Task<http::Response>(http::Request)> handler, Nanos pace);
+  Task<http::Reply> direct(http::Call call);  // POST /do
+  Beat report();
+  void obey(wire::View orders);
+  void lose_lease();
+
+  bool on = true;
+  bool cut = false;            // nothing in or out
+  bool drop_responses = false;  // they come too late
+  bool refuse_direct = false;
+  std::function<Nanos(const TaskRef&)> run_time;         // default 5 s
+  std::function<bool(const TaskRef&)> fails;             // default never
+  std::map<std::string, JobSpec>* specs = nullptr;
+  std::optional<Seconds> notice;
+  std::map<std::pair<TaskRef, uint64_t>, Running> tasks;
+  std::vector<std::pair<TaskRef, uint64_t>> started;
+  std::function<void(const TaskRef&)> on_start;
+  uint64_t session = 1, seq = 0, token = 0;
+  std::string id;
+  std::string address;
+
+ private:
+  void advance();
+  Loop& loop_;
+  MachineType type_;
+  std::string zone_;
+  bool spot_;
+  Nanos lease_;
+  Instant answered_sent_;
+};
+
+// Everything together: any number of controllers over one state service and one cloud.
+class Site : public World {
+ public:
+  explicit Site(size_t controllers = 1);
+  ~Site() { loop.abandon(); }
+
+  struct Node : http::Transport {
+    Node(Site& site, size_t index);
+    Task<http::Reply> exchange(http::Call call) override;
+    Site& site;
+    settings::Platform platform;
+    std::unique_ptr<node::Daemon> daemon;
+    std::unique_ptr<Loop> loop;  // of its own, so that a "process" can end
+    bool cut_from_state = false;
+  };
+
+  static settings::Platform platform(size_t index, size_t count);
+  node::Daemon& daemon(size_t i) { return *nodes[i]->daemon; }
+  std::optional<size_t> leader() const;
+  void add_worker(const CloudService::Machine& m);
+  http::Response ask(size_t node, std::string method, std::string target, std::string body = "");
+  http::Response submit(const JobSpec& spec, size_t node = 0);
+  std::string standing(const std::string& id, size_t node = 0);
+  // How many machines the task is on at this moment.
+  size_t copies(const TaskRef& t) const;
+
+  settings::Operator op;
+  StateService state{loop};
+  CloudService cloud{loop};
+  std::map<std::string, JobSpec> specs;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::map<std::string, std::unique_ptr<Worker>> workers;
+  size_t ran_twice = 0;
+  size_t starts = 0;
+};
+
+JobSpec job(const std::string& id, uint32_t tasks = 1);
+
+}  // namespace dunlinknot::test
