--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -53,7 +53,9 @@
 }
 
 // Attempts never repeat: a leader numbers its own below its epoch.
-uint64_t Cluster::next_attempt() { return epoch_ << 24 | ++attempts_; }
+uint64_t Cluster::next_attempt() {
+  return epoch_ << 24 | ++attempts_;
+}
 
 int Cluster::team_index(std::string_view name) const {
   for (size_t i = 0; i < platform_.teams.size(); ++i) {
@@ -125,8 +127,9 @@
   jobs_.erase(it);
   needs.schedule = true;
   if (!cancelled) return needs;
-  // Safety 3: nothing of a cancelled job starts, and all of it is stopped everywhere. Bookings whose
-  // `run` never went out under us are simply undone; the others stay booked until they are gone.
+  // Safety 3: nothing of a cancelled job starts, and all of it is stopped everywhere. Bookings
+  // whose `run` never went out under us are simply undone; the others stay booked until they are
+  // gone.
   for (auto& [name, h] : hosts_) {
     for (size_t i = h->bookings.size(); i-- > 0;) {
       Booking& b = h->bookings[i];
@@ -336,7 +339,8 @@
   }
   if (!fresh(h, b)) {
     // Older than a report already seen (a direct call's answer may overtake a beat): its worker may
-    // still be waiting, so its lease is renewed, but nothing is read from it and nothing is ordered.
+    // still be waiting, so its lease is renewed, but nothing is read from it and nothing is
+    // ordered.
     h.last_answered = now;
     return answer;
   }
@@ -411,8 +415,8 @@
     for (size_t i = h.bookings.size(); i-- > 0;) {
       if (i >= h.bookings.size()) continue;
       const Booking& k = h.bookings[i];
-      const bool from_before = k.phase == Phase::seen ||
-                               (k.phase == Phase::sent && k.sent_session < b.session);
+      const bool from_before =
+          k.phase == Phase::seen || (k.phase == Phase::sent && k.sent_session < b.session);
       if (from_before) needs |= end_booking(h, i, now);
     }
   }
@@ -431,8 +435,8 @@
       stray.task = t.task;
       stray.attempt = t.attempt;
       stray.placed_at = now;
-      const bool welcome = j && !j->spec().gang && !j->is_done(t.task.index) &&
-                           !j->is_live(t.task.index);
+      const bool welcome =
+          j && !j->spec().gang && !j->is_done(t.task.index) && !j->is_live(t.task.index);
       if (j) {
         stray.team = j->team();
         stray.team_name = j->spec().team;
@@ -441,8 +445,8 @@
         stray.priority = j->spec().priority;
       }
       stray.phase = Phase::seen;
-      spdlog::info("machine {} reports {} try {} that is not booked there: {}", h.id,
-                   t.task.text(), t.attempt, welcome ? "kept" : "stopped");
+      spdlog::info("machine {} reports {} try {} that is not booked there: {}", h.id, t.task.text(),
+                   t.attempt, welcome ? "kept" : "stopped");
       add_booking(h, std::move(stray));
       h.dirty = true;
       needs.store_hosts = true;
@@ -511,8 +515,7 @@
   if (r.cause == ExitCause::error) on_error(h, j, now);
   if (r.cause == ExitCause::no_room || r.cause == ExitCause::busy ||
       r.cause == ExitCause::unknown) {
-    spdlog::info("machine {} refused {}: cause {}", h.id, r.task.text(),
-                 static_cast<int>(r.cause));
+    spdlog::info("machine {} refused {}: cause {}", h.id, r.task.text(), static_cast<int>(r.cause));
     if (j) j->not_before = std::max(j->not_before, now + Millis(1000));
   }
   const bool orderly = r.cause == ExitCause::stopped && k->stopping() && k->grace > Seconds(0);
@@ -541,7 +544,8 @@
     if (!other || !other->failing) ++blamed;
   }
   const bool others_complete_it = j->done_count() > 0;
-  if (h.error_streak >= op_.faults_to_drain && (blamed >= 2 || (blamed == 1 && others_complete_it))) {
+  if (h.error_streak >= op_.faults_to_drain &&
+      (blamed >= 2 || (blamed == 1 && others_complete_it))) {
     h.draining = true;
     h.drain_reason = "fails the tasks that it starts";
     spdlog::info("machine {} drained: {} errors in a row, {} jobs", h.id, h.error_streak, blamed);
@@ -554,7 +558,9 @@
   return h.ours ? h.last_answered : std::max(h.last_answered, reign_since_ + blind_ * 1001 / 1000);
 }
 
-Instant Cluster::lease_over(const Host& h) const { return silent_until(h) + lease_; }
+Instant Cluster::lease_over(const Host& h) const {
+  return silent_until(h) + lease_;
+}
 
 Needs Cluster::expire(Instant now) {
   Needs needs;
@@ -562,8 +568,7 @@
     if (h->lost) continue;
     if (!h->heard && h->bookings.empty()) continue;  // nothing of ours was ever there
     if (now < lease_over(*h)) continue;
-    spdlog::info("machine {} silent beyond its lease: {} bookings end", h->id,
-                 h->bookings.size());
+    spdlog::info("machine {} silent beyond its lease: {} bookings end", h->id, h->bookings.size());
     h->lost = h->heard;
     h->images.clear();
     while (!h->bookings.empty()) needs |= end_booking(*h, h->bookings.size() - 1, now);
@@ -630,7 +635,8 @@
   h.stamp_known = true;
   h.stored.clear();
   for (const auto& g : written.groups) {
-    for (const auto& [index, attempt] : g.tasks) h.stored.emplace_back(TaskRef{g.job, index}, attempt);
+    for (const auto& [index, attempt] : g.tasks)
+      h.stored.emplace_back(TaskRef{g.job, index}, attempt);
   }
   h.dirty = false;
   h.trailing = false;
@@ -639,9 +645,8 @@
   }
   for (Booking& b : h.bookings) {
     if (b.phase != Phase::planned) continue;
-    const bool there = find_where(h.stored, [&](const auto& s) {
-      return s.second == b.attempt && s.first == b.task;
-    });
+    const bool there = find_where(
+        h.stored, [&](const auto& s) { return s.second == b.attempt && s.first == b.task; });
     if (!there) {
       h.dirty = true;
       needs.store_hosts = true;
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -92,7 +92,7 @@
   // Its record in the state service.
   uint64_t stamp = 0;
   bool stamp_known = true;
-  bool dirty = false;    // bookings were added
+  bool dirty = false;     // bookings were added
   bool trailing = false;  // bookings ended: rewritten when there is time
   bool storing = false;
   std::vector<std::pair<TaskRef, uint64_t>> stored;
--- a/src/dunlinknot/cluster/ledger.cpp
+++ b/src/dunlinknot/cluster/ledger.cpp
@@ -57,7 +57,8 @@
 
 Task<bool> Ledger::load(uint64_t reign) {
   const Visit job = [this](const state::Item& i) { take_job(i); };
-  if (!co_await list_all(reign, std::string(wire::kJobPrefix), job, &jobs_revision_)) co_return false;
+  if (!co_await list_all(reign, std::string(wire::kJobPrefix), job, &jobs_revision_))
+    co_return false;
   garbage_.clear();
   const Visit done = [this](const state::Item& i) {
     const auto key = wire::parse_done_key(i.key);
@@ -78,8 +79,7 @@
       spdlog::error("the record {} cannot be read and is left alone", i.key);
       return;
     }
-    domain_.picture.with(
-        [&](Picture& p) { p.cluster.load_host(id, *record, i.stamp, now); });
+    domain_.picture.with([&](Picture& p) { p.cluster.load_host(id, *record, i.stamp, now); });
   };
   const bool all = co_await list_all(reign, std::string(wire::kHostPrefix), host, nullptr);
   co_return all;
@@ -93,9 +93,11 @@
     (void)co_await domain_.store_hosts.wait_until(next_trailing);
     const bool trailing = domain_.loop.now() >= next_trailing;
     if (trailing) next_trailing = domain_.loop.now() + kTrailing;
-    for (bool more = true; more && domain_.in_reign(reign);) more = co_await store_some_hosts(reign, trailing);
+    for (bool more = true; more && domain_.in_reign(reign);)
+      more = co_await store_some_hosts(reign, trailing);
     if (trailing) {
-      for (bool more = true; more && domain_.in_reign(reign);) more = co_await delete_some_records(reign);
+      for (bool more = true; more && domain_.in_reign(reign);)
+        more = co_await delete_some_records(reign);
     }
   }
 }
@@ -119,8 +121,8 @@
       if (!h) return;
       // What the record says is what is durable, whichever attempt wrote it.
       const auto record = got.found ? wire::read_host(got.item.value) : std::nullopt;
-      p.cluster.host_stored(*h, record.value_or(wire::HostRecord{}),
-                            got.found ? got.item.stamp : 0, needs);
+      p.cluster.host_stored(*h, record.value_or(wire::HostRecord{}), got.found ? got.item.stamp : 0,
+                            needs);
     });
     domain_.follow_up(needs);
   }
@@ -270,8 +272,7 @@
         jobs.insert(id);
         txn.guards.push_back({wire::job_key(id), j->stamp});
         txn.guards.push_back({wire::final_key(id), 0});
-        txn.writes.push_back(
-            {wire::final_key(id), wire::write_final({false, j->spec().tasks}), 0});
+        txn.writes.push_back({wire::final_key(id), wire::write_final({false, j->spec().tasks}), 0});
         txn.writes.push_back({wire::job_key(id), "", 0});
         finished.push_back({id, j->spec().tasks});
       } else if (!j->dirty_chunks().empty()) {
--- a/src/dunlinknot/cluster/ledger.hpp
+++ b/src/dunlinknot/cluster/ledger.hpp
@@ -13,7 +13,7 @@
 class Ledger {
  public:
   struct Hooks {
-    std::function<void(std::string_view why)> deposed;           // a guard on `epoch` failed
+    std::function<void(std::string_view why)> deposed;  // a guard on `epoch` failed
     std::function<void(const std::string& id, uint32_t tasks)> finished;  // `done` is durable
   };
   Ledger(Domain& domain, state::Client& state, Hooks hooks);
--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -49,8 +49,8 @@
     r.offer = w.offer;
     r.count = std::min(w.count, 50u);
     r.job = w.job;
-    spdlog::info("renting {} x {} {} in {} for {} as {}", r.count, w.offer.spot ? "spot" : "ordinary",
-                 w.offer.type, w.offer.zone, w.job, r.request);
+    spdlog::info("renting {} x {} {} in {} for {} as {}", r.count,
+                 w.offer.spot ? "spot" : "ordinary", w.offer.type, w.offer.zone, w.job, r.request);
     rentals_.push_back(std::move(r));
   }
   if (!rentals_.empty()) domain_.rentals.notify();
@@ -73,7 +73,8 @@
         p.cluster.learn_host(id, r.offer.type, r.offer.zone, r.offer.spot, now);
       }
     });
-    if (result.machines.size() < r.count) refused_until_[r.offer] = now + to_nanos(domain_.op.refusal_pause);
+    if (result.machines.size() < r.count)
+      refused_until_[r.offer] = now + to_nanos(domain_.op.refusal_pause);
     domain_.schedule.notify();
     co_return;
   }
--- a/src/dunlinknot/fleet/fleet.hpp
+++ b/src/dunlinknot/fleet/fleet.hpp
@@ -43,10 +43,10 @@
   cluster::Domain& domain_;
   cloud::Client& cloud_;
   uint64_t counter_ = 0;
-  std::vector<Rental> rentals_;              // ordered and not answered
-  std::set<std::string> in_flight_;          // of them, the ones being asked for now
+  std::vector<Rental> rentals_;      // ordered and not answered
+  std::set<std::string> in_flight_;  // of them, the ones being asked for now
   std::map<scheduler::Offer, Instant> refused_until_;
-  std::deque<std::string> discards_;         // machines to delete
+  std::deque<std::string> discards_;  // machines to delete
   bool removing_ = false;
 };
 
--- a/src/dunlinknot/http/message.cpp
+++ b/src/dunlinknot/http/message.cpp
@@ -35,20 +35,34 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 409: return "Conflict";
-    case 413: return "Content Too Large";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Content";
-    case 429: return "Too Many Requests";
-    case 431: return "Request Header Fields Too Large";
-    case 501: return "Not Implemented";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Content";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 
--- a/src/dunlinknot/http/message.hpp
+++ b/src/dunlinknot/http/message.hpp
@@ -11,7 +11,7 @@
 namespace dunlinknot::http {
 
 struct Limits {
-  size_t head = 8 * 1024;     // start line and headers together
+  size_t head = 8 * 1024;  // start line and headers together
   size_t body = 64 * 1024;
 };
 
@@ -64,7 +64,7 @@
   Limits limits_;
   Phase phase_ = Phase::start_line;
   std::string buffer_;
-  size_t pos_ = 0;          // bytes of buffer_ used up
+  size_t pos_ = 0;  // bytes of buffer_ used up
   size_t head_bytes_ = 0;
   bool has_length_ = false;
   bool chunked_ = false;
--- a/src/dunlinknot/http/socket.cpp
+++ b/src/dunlinknot/http/socket.cpp
@@ -46,7 +46,9 @@
   return std::string(buf) + ":" + std::to_string(port);
 }
 
-Socket::Socket(Loop& loop, int fd) : loop_(&loop), fd_(fd) { loop.watch_fd(fd); }
+Socket::Socket(Loop& loop, int fd) : loop_(&loop), fd_(fd) {
+  loop.watch_fd(fd);
+}
 
 Socket::Socket(Socket&& o) noexcept : loop_(o.loop_), fd_(std::exchange(o.fd_, -1)) {}
 
--- a/src/dunlinknot/jobs/desk.cpp
+++ b/src/dunlinknot/jobs/desk.cpp
@@ -87,8 +87,8 @@
     return "unknown zone";
   }
   const bool fits = std::any_of(catalog_.begin(), catalog_.end(), [&](const MachineType& t) {
-    const bool allowed =
-        spec.types.empty() || std::find(spec.types.begin(), spec.types.end(), t.name) != spec.types.end();
+    const bool allowed = spec.types.empty() || std::find(spec.types.begin(), spec.types.end(),
+                                                         t.name) != spec.types.end();
     return allowed && spec.need.fits_in(t.size);
   });
   if (!fits) return "a task fits no allowed machine type";
--- a/src/dunlinknot/leadership/elector.cpp
+++ b/src/dunlinknot/leadership/elector.cpp
@@ -24,7 +24,9 @@
   return to_nanos(std::max(Seconds(0), left / kDrift));
 }
 
-Nanos lease_bound(const settings::Platform& p) { return to_nanos(p.lease * kDrift + kMargin / 2); }
+Nanos lease_bound(const settings::Platform& p) {
+  return to_nanos(p.lease * kDrift + kMargin / 2);
+}
 
 Elector::Elector(Loop& loop, state::Client& state, const settings::Platform& platform, Nanos ttl,
                  Hooks hooks)
@@ -101,8 +103,8 @@
   bool fresh = false;
   for (;;) {
     if (!fresh) {
-      state::GetResult got =
-          co_await state_.get(std::string(wire::kLeaderKey), kCallTime, state::Importance::essential);
+      state::GetResult got = co_await state_.get(std::string(wire::kLeaderKey), kCallTime,
+                                                 state::Importance::essential);
       if (got.outcome != http::Outcome::ok) {
         co_await loop_.sleep(kRetry);
         continue;
@@ -125,8 +127,7 @@
     const Millis block =
         vacant ? std::clamp(to_millis(not_before_ - loop_.now()), Millis(50), kWatchBlock)
                : kWatchBlock;
-    state::WatchResult w =
-        co_await state_.watch(std::string(wire::kLeaderKey), revision_, block);
+    state::WatchResult w = co_await state_.watch(std::string(wire::kLeaderKey), revision_, block);
     if (w.outcome != http::Outcome::ok) {
       fresh = false;
       co_await loop_.sleep(kRetry);
@@ -172,8 +173,8 @@
   state::Txn txn;
   txn.guards.push_back({std::string(wire::kLeaderKey), leader_stamp_.value_or(0)});
   txn.guards.push_back({std::string(wire::kEpochKey), epoch.found ? epoch.item.stamp : 0});
-  txn.writes.push_back({std::string(wire::kLeaderKey),
-                        wire::write_leader({platform_.node, mine}), lease_});
+  txn.writes.push_back(
+      {std::string(wire::kLeaderKey), wire::write_leader({platform_.node, mine}), lease_});
   txn.writes.push_back({std::string(wire::kEpochKey), wire::write_epoch(mine), 0});
   state::TxnResult r = co_await state_.commit(txn, kCallTime, state::Importance::essential);
   if (r.applied) {
--- a/src/dunlinknot/leadership/peers.hpp
+++ b/src/dunlinknot/leadership/peers.hpp
@@ -36,11 +36,11 @@
  private:
   struct Link {
     settings::Peer peer;
-    uint64_t seq = 0;                       // of our last status on the outgoing connection
+    uint64_t seq = 0;  // of our last status on the outgoing connection
     std::optional<wire::peer::Status> last;
     Instant heard_at{};
-    uint64_t last_seen_seq = 0;             // the peer's
-    Instant confirmed_to{};                 // its answer was made after this moment
+    uint64_t last_seen_seq = 0;  // the peer's
+    Instant confirmed_to{};      // its answer was made after this moment
   };
   Task<void> dial(Link& link);
   Task<void> listen();
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -36,8 +36,8 @@
       peers_(loop, platform,
              {[this] { return status(); },
               [this](const wire::peer::Status& s) {
-                elector_.heard_of(s.epoch,
-                                  s.leader.empty() ? std::nullopt : std::optional(s.leader), s.node);
+                elector_.heard_of(
+                    s.epoch, s.leader.empty() ? std::nullopt : std::optional(s.leader), s.node);
               },
               [this] { return progress(); },
               [this](const wire::peer::Progress& p) {
@@ -58,8 +58,7 @@
   http::ServerOptions options;
   options.max_connections = platform_.max_connections * 3 / 4;
   server_ = std::make_unique<http::Server>(
-      loop_, platform_.listen, options,
-      [this](http::Request r) { return handle(std::move(r)); });
+      loop_, platform_.listen, options, [this](http::Request r) { return handle(std::move(r)); });
   loop_.spawn(server_->serve());
   peers_.start();
   start_parts();
@@ -72,7 +71,8 @@
 }
 
 Task<Response> Daemon::handle(http::Request request) {
-  const std::string_view path = std::string_view(request.target).substr(0, request.target.find('?'));
+  const std::string_view path =
+      std::string_view(request.target).substr(0, request.target.find('?'));
   const bool get = request.method == "GET";
   const bool post = request.method == "POST";
   Response out;
@@ -133,7 +133,8 @@
   domain_.picture.with([&](Picture& pic) {
     for (const auto& [id, j] : pic.cluster.jobs()) {
       if (p.entries.size() >= wire::peer::kMaxEntries) break;
-      if (j->done_count() > 0 || j->running > 0) p.entries.push_back({id, j->done_count(), j->running});
+      if (j->done_count() > 0 || j->running > 0)
+        p.entries.push_back({id, j->done_count(), j->running});
     }
   });
   return p;
@@ -209,8 +210,9 @@
   const auto [jobs, hosts, bookings] = domain_.picture.with([](Picture& p) {
     return std::tuple(p.cluster.jobs().size(), p.cluster.hosts().size(), p.cluster.booking_count());
   });
-  spdlog::info("take-over of epoch {} done in {} ms: {} open jobs, {} machines with bookings, {} bookings",
-               domain_.epoch, to_millis(loop_.now() - started).count(), jobs, hosts, bookings);
+  spdlog::info(
+      "take-over of epoch {} done in {} ms: {} open jobs, {} machines with bookings, {} bookings",
+      domain_.epoch, to_millis(loop_.now() - started).count(), jobs, hosts, bookings);
   loop_.spawn(ledger_.watch_jobs(reign));
   loop_.spawn(ledger_.store_hosts(reign));
   loop_.spawn(ledger_.store_done(reign));
@@ -319,7 +321,8 @@
     const uint64_t a = jobs_.accepted(), r = jobs_.refused(), t = state_.throttled(),
                    w = server_ ? server_->turned_away() : 0, e = evictions_;
     spdlog::info(
-        "last 30 s: {} accepted, {} put off, {} state calls over budget, {} connections turned away, "
+        "last 30 s: {} accepted, {} put off, {} state calls over budget, {} connections turned "
+        "away, "
         "{} evictions; {} connections open",
         a - accepted, r - refused, t - throttled, w - away, e - evictions,
         server_ ? server_->connections() : 0);
--- a/src/dunlinknot/preemption/fit.cpp
+++ b/src/dunlinknot/preemption/fit.cpp
@@ -9,8 +9,8 @@
 
 bool on_list(const std::vector<Victim>* list, const cluster::Booking& b) {
   return list && std::any_of(list->begin(), list->end(), [&](const Victim& v) {
-    return v.attempt == b.attempt && v.task == b.task;
-  });
+           return v.attempt == b.attempt && v.task == b.task;
+         });
 }
 
 bool exceeds(const Resources& beyond, const Resources& need) {
@@ -33,8 +33,8 @@
   }
 }
 
-bool Room::fits(const Resources& need, Priority priority, uint64_t except,
-                const Resources& removed, const Resources& removed_victims) const {
+bool Room::fits(const Resources& need, Priority priority, uint64_t except, const Resources& removed,
+                const Resources& removed_victims) const {
   const Resources plain = free_ + removed;
   if (!need.fits_in(plain)) return false;  // pass 2: without the holds
   Resources held;
--- a/src/dunlinknot/preemption/nominations.cpp
+++ b/src/dunlinknot/preemption/nominations.cpp
@@ -9,11 +9,16 @@
 namespace {
 const char* text(End e) {
   switch (e) {
-    case End::placed: return "placed";
-    case End::cancelled: return "cancelled";
-    case End::renominated: return "renominated";
-    case End::stop_failed: return "stop call failed";
-    case End::cleared: return "cleared on re-evaluation";
+    case End::placed:
+      return "placed";
+    case End::cancelled:
+      return "cancelled";
+    case End::renominated:
+      return "renominated";
+    case End::stop_failed:
+      return "stop call failed";
+    case End::cleared:
+      return "cleared on re-evaluation";
   }
   return "?";
 }
--- a/src/dunlinknot/runtime/budget.hpp
+++ b/src/dunlinknot/runtime/budget.hpp
@@ -33,7 +33,8 @@
 
  private:
   void refill(Instant now) {
-    if (last_ != Instant{}) level_ = std::min(burst_, level_ + rate_ * to_seconds(now - last_).count());
+    if (last_ != Instant{})
+      level_ = std::min(burst_, level_ + rate_ * to_seconds(now - last_).count());
     last_ = now;
   }
   double rate_;
--- a/src/dunlinknot/runtime/clock.hpp
+++ b/src/dunlinknot/runtime/clock.hpp
@@ -11,9 +11,15 @@
 using Seconds = std::chrono::duration<double>;
 using WallTime = std::chrono::sys_time<Millis>;
 
-inline Nanos to_nanos(Seconds s) { return std::chrono::duration_cast<Nanos>(s); }
-inline Seconds to_seconds(Nanos n) { return std::chrono::duration_cast<Seconds>(n); }
-inline Millis to_millis(Nanos n) { return std::chrono::duration_cast<Millis>(n); }
+inline Nanos to_nanos(Seconds s) {
+  return std::chrono::duration_cast<Nanos>(s);
+}
+inline Seconds to_seconds(Nanos n) {
+  return std::chrono::duration_cast<Seconds>(n);
+}
+inline Millis to_millis(Nanos n) {
+  return std::chrono::duration_cast<Millis>(n);
+}
 
 class Clock {
  public:
--- a/src/dunlinknot/runtime/loop.cpp
+++ b/src/dunlinknot/runtime/loop.cpp
@@ -59,7 +59,9 @@
   if (epoll_ >= 0) ::close(epoll_);
 }
 
-void Loop::spawn(Task<void> task) { run_detached(*this, std::move(task)); }
+void Loop::spawn(Task<void> task) {
+  run_detached(*this, std::move(task));
+}
 
 void Loop::arm(Waiter& w) {
   if (w.deadline != Instant::max()) {
--- a/src/dunlinknot/runtime/loop.hpp
+++ b/src/dunlinknot/runtime/loop.hpp
@@ -69,10 +69,10 @@
   Io writable(int fd, Instant deadline) {
     return Io{*this, fd, true, Waiter{{}, deadline, false, false, nullptr}};
   }
-  void watch_fd(int fd);    // once, after the socket was made
-  void forget_fd(int fd);   // before it is closed
+  void watch_fd(int fd);   // once, after the socket was made
+  void forget_fd(int fd);  // before it is closed
 
-  void run();               // until stop()
+  void run();  // until stop()
   void stop() { stopping_ = true; }
 
   // For tests: run what is ready, without waiting; and the time of the next timer.
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -94,7 +94,8 @@
       const bool ready = usable(*h);
       const bool coming = !h->heard && !h->draining && !h->deleting && !h->listed_failed;
       if ((!ready && !coming) || h->size.cpus <= 0) continue;
-      Slot s{h.get(), Room(*h, nominations_, h->size), h->type, h->zone, h->spot, coming, {}, false};
+      Slot s{h.get(), Room(*h, nominations_, h->size), h->type, h->zone, h->spot, coming, {},
+             false};
       for (const Booking& b : h->bookings) {
         if (b.state != TaskState::fetching) continue;
         if (const Job* j = cluster_.job(b.task.job)) s.fetching.push_back(j->spec().image);
@@ -115,8 +116,10 @@
     imagined->spot = offer.spot;
     imagined->size = t->size;
     imagined->fetch_gb_per_s = t->fetch_gb_per_s;
-    Slot s{nullptr, Room(*imagined, nominations_, t->size), offer.type, offer.zone, offer.spot,
-           true, {}, false};
+    Slot s{nullptr,    Room(*imagined, nominations_, t->size),
+           offer.type, offer.zone,
+           offer.spot, true,
+           {},         false};
     imagined_.push_back(std::move(imagined));
     slots_.push_back(std::move(s));
   }
@@ -167,14 +170,16 @@
     std::vector<uint64_t> own = nominations_.of(j.spec().id);
     want -= place_nominated(j, want, own);
     if (want > 0) want -= place_array(j, want, false, own);
-    // What has a nomination waits for its room; the rest may use machines that are coming, then rent.
+    // What has a nomination waits for its room; the rest may use machines that are coming, then
+    // rent.
     uint32_t open = want > own.size() ? want - static_cast<uint32_t>(own.size()) : 0;
     if (open > 0) open -= place_array(j, open, true, own);
     if (open > 0) open -= rent_array(w, open);
     preempt(w, own, open);
   }
 
-  // The preemptor tries its held room before anything else. Used nominations are taken out of `own`.
+  // The preemptor tries its held room before anything else. Used nominations are taken out of
+  // `own`.
   uint32_t place_nominated(const Job& j, uint32_t want, std::vector<uint64_t>& own) {
     uint32_t placed = 0;
     for (size_t i = 0; i < own.size() && placed < want;) {
@@ -316,7 +321,8 @@
     plan_.placements.push_back({j.spec().id, s.host->id, n, std::move(ends)});
   }
 
-  // All tasks or none. With `coming`, machines that are not up yet count too, and nothing is placed.
+  // All tasks or none. With `coming`, machines that are not up yet count too, and nothing is
+  // placed.
   bool place_gang(const Job& j, bool coming) {
     const JobSpec& spec = j.spec();
     std::vector<std::pair<double, Slot*>> order = ranked(j, false);
@@ -422,8 +428,7 @@
     if (offers.empty() || fleet_full()) return 0;
     const Deal& d = offers.front();
     // As many machines as finish what is left in time, not one for every task at once.
-    const double fetch =
-        d.type->fetch_gb_per_s > 0 ? spec.image_gb / d.type->fetch_gb_per_s : 0;
+    const double fetch = d.type->fetch_gb_per_s > 0 ? spec.image_gb / d.type->fetch_gb_per_s : 0;
     const double run = std::max(1.0, spec.estimate.count());
     const double span = std::max(run, w.due - d.type->boot.count() - fetch);
     const double turns = std::max(1.0, std::floor(span / run));
@@ -595,17 +600,17 @@
         return total <= guarantee + Resources::kSlack;
       };
       bool uses = false;
-      const bool fits = dim(team.cpus, sum.cpus, all.cpus, uses) &
-                        dim(team.gpus, sum.gpus, all.gpus, uses);
+      const bool fits =
+          dim(team.cpus, sum.cpus, all.cpus, uses) & dim(team.gpus, sum.gpus, all.gpus, uses);
       if (fits && uses) out.insert(j->spec().id);
     }
   }
   return out;
 }
 
-Plan plan(const Cluster& cluster, const preemption::Nominations& nominations,
-          const Market& market, const settings::Platform& platform,
-          const settings::Operator& op, WallTime wall, Instant now) {
+Plan plan(const Cluster& cluster, const preemption::Nominations& nominations, const Market& market,
+          const settings::Platform& platform, const settings::Operator& op, WallTime wall,
+          Instant now) {
   return Round(cluster, nominations, market, platform, op, wall, now).run();
 }
 
--- a/src/dunlinknot/scheduler/scheduler.hpp
+++ b/src/dunlinknot/scheduler/scheduler.hpp
@@ -60,14 +60,14 @@
   std::vector<GangPlacement> gangs;
   std::vector<Wish> wishes;
   std::vector<Eviction> evictions;
-  std::vector<uint64_t> cleared;      // nominations that came to nothing
-  std::vector<std::string> wanted;    // idle machines that waiting work will use: not to be returned
+  std::vector<uint64_t> cleared;    // nominations that came to nothing
+  std::vector<std::string> wanted;  // idle machines that waiting work will use: not to be returned
   size_t waiting_tasks = 0;
 };
 
 Plan plan(const cluster::Cluster& cluster, const preemption::Nominations& nominations,
-          const Market& market, const settings::Platform& platform,
-          const settings::Operator& op, WallTime wall, Instant now);
+          const Market& market, const settings::Platform& platform, const settings::Operator& op,
+          WallTime wall, Instant now);
 
 // The jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
 std::set<std::string> within_guarantee(const cluster::Cluster& cluster);
--- a/src/dunlinknot/settings/settings.cpp
+++ b/src/dunlinknot/settings/settings.cpp
@@ -1,5 +1,7 @@
 #include "dunlinknot/settings/settings.hpp"
 
+#include <toml++/toml.h>
+
 #include <algorithm>
 #include <cmath>
 #include <fstream>
@@ -8,7 +10,6 @@
 #include <map>
 #include <pugixml.hpp>
 #include <sstream>
-#include <toml++/toml.h>
 
 namespace dunlinknot::settings {
 
@@ -42,7 +43,8 @@
     throw Error(where + ": " + field + ": " + what);
   }
 
-  const toml::node& need(const toml::table& t, std::string_view key, const std::string& name) const {
+  const toml::node& need(const toml::table& t, std::string_view key,
+                         const std::string& name) const {
     const toml::node* n = t.get(key);
     if (!n) fail(name, "is missing");
     return *n;
@@ -136,8 +138,8 @@
     p.zones.push_back(*v);
   }
   if (params.contains("skew_ms")) {
-    p.skew = Millis(static_cast<int64_t>(
-        std::ceil(in.number(params, "skew_ms", "params.skew_ms", 0, 3.6e6))));
+    p.skew = Millis(
+        static_cast<int64_t>(std::ceil(in.number(params, "skew_ms", "params.skew_ms", 0, 3.6e6))));
   }
   in.each(params, "teams", "params.teams", [&](const toml::table& t, const std::string& at) {
     Team team;
@@ -149,8 +151,10 @@
     team.cpus_max = optional("cpus_max");
     team.gpus = optional("gpus");
     team.gpus_max = optional("gpus_max");
-    if (team.cpus_max > 0 && team.cpus > team.cpus_max) in.fail(at + "cpus", "exceeds cpus_max", &t);
-    if (team.gpus_max > 0 && team.gpus > team.gpus_max) in.fail(at + "gpus", "exceeds gpus_max", &t);
+    if (team.cpus_max > 0 && team.cpus > team.cpus_max)
+      in.fail(at + "cpus", "exceeds cpus_max", &t);
+    if (team.gpus_max > 0 && team.gpus > team.gpus_max)
+      in.fail(at + "gpus", "exceeds gpus_max", &t);
     for (const Team& other : p.teams) {
       if (other.name == team.name) in.fail(at + "name", "names a team a second time", &t);
     }
@@ -211,13 +215,13 @@
   bool whole;
 };
 
-Field seconds(double least, double most, Seconds Operator::* at) {
+Field seconds(double least, double most, Seconds Operator::*at) {
   return {least, most, [at](Operator& o, double v) { o.*at = Seconds(v); }, "s", false};
 }
-Field whole(double least, double most, uint32_t Operator::* at) {
+Field whole(double least, double most, uint32_t Operator::*at) {
   return {least, most, [at](Operator& o, double v) { o.*at = static_cast<uint32_t>(v); }, "", true};
 }
-Field ratio(double least, double most, double Operator::* at) {
+Field ratio(double least, double most, double Operator::*at) {
   return {least, most, [at](Operator& o, double v) { o.*at = v; }, "", false};
 }
 
--- a/src/dunlinknot/settings/settings.hpp
+++ b/src/dunlinknot/settings/settings.hpp
@@ -70,20 +70,20 @@
 
 // The operators' own settings, each with its default. docs/operations.md describes them.
 struct Operator {
-  Seconds leader_ttl{3.0};           // leadership/ttl
-  uint32_t max_submissions = 64;     // api/max-submissions
-  uint32_t max_polls = 128;          // api/max-polls
-  uint32_t final_cache = 4000;       // api/final-cache
-  Seconds idle_return{30};           // fleet/idle-return
-  double boot_patience = 4.0;        // fleet/boot-patience, times the type's boot time
-  Seconds lost_return{20};           // fleet/lost-return
-  Seconds refusal_pause{15};         // fleet/refusal-pause
-  uint32_t max_machines = 200;       // fleet/max-machines
-  uint32_t faults_to_drain = 3;      // fleet/faults-to-drain
-  Seconds round_pause{0.1};          // scheduler/round-pause
-  Seconds backoff_first{5};          // scheduler/backoff-first
-  Seconds backoff_most{120};         // scheduler/backoff-most
-  uint32_t failing_machines = 3;     // scheduler/failing-machines
+  Seconds leader_ttl{3.0};        // leadership/ttl
+  uint32_t max_submissions = 64;  // api/max-submissions
+  uint32_t max_polls = 128;       // api/max-polls
+  uint32_t final_cache = 4000;    // api/final-cache
+  Seconds idle_return{30};        // fleet/idle-return
+  double boot_patience = 4.0;     // fleet/boot-patience, times the type's boot time
+  Seconds lost_return{20};        // fleet/lost-return
+  Seconds refusal_pause{15};      // fleet/refusal-pause
+  uint32_t max_machines = 200;    // fleet/max-machines
+  uint32_t faults_to_drain = 3;   // fleet/faults-to-drain
+  Seconds round_pause{0.1};       // scheduler/round-pause
+  Seconds backoff_first{5};       // scheduler/backoff-first
+  Seconds backoff_most{120};      // scheduler/backoff-most
+  uint32_t failing_machines = 3;  // scheduler/failing-machines
 };
 
 Platform load_platform(const std::string& path);
--- a/src/dunlinknot/state/client.cpp
+++ b/src/dunlinknot/state/client.cpp
@@ -30,7 +30,8 @@
 
 // A reply that should not have come as it did tells nothing about what was done.
 void log_odd(const char* what, int status) {
-  spdlog::info("state service: unreadable answer to {} (status {}), taken as unknown", what, status);
+  spdlog::info("state service: unreadable answer to {} (status {}), taken as unknown", what,
+               status);
 }
 
 }  // namespace
@@ -118,8 +119,7 @@
   std::string target = "/keys?starts=" + prefix;
   if (!after.empty()) target += "&since=" + after;
   target += "&most=500";
-  http::Reply r =
-      co_await call("GET", target, "", within, kListBody, 0, Importance::essential);
+  http::Reply r = co_await call("GET", target, "", within, kListBody, 0, Importance::essential);
   out.outcome = r.outcome;
   if (r.outcome != Outcome::ok) co_return out;
   out.document = parse(r.body);
--- a/src/dunlinknot/wire/messages.cpp
+++ b/src/dunlinknot/wire/messages.cpp
@@ -29,9 +29,8 @@
                                        {ExitCause::no_room, "no_room"},
                                        {ExitCause::busy, "in_use"},
                                        {ExitCause::unknown, "unknown"}}};
-constexpr Names<Command::Op, 3> kOps{{{Command::Op::start, "run"},
-                                      {Command::Op::stop, "stop"},
-                                      {Command::Op::forget, "forget"}}};
+constexpr Names<Command::Op, 3> kOps{
+    {{Command::Op::start, "run"}, {Command::Op::stop, "stop"}, {Command::Op::forget, "forget"}}};
 constexpr Names<JobStanding::State, 4> kStandings{{{JobStanding::State::queued, "queued"},
                                                    {JobStanding::State::running, "running"},
                                                    {JobStanding::State::done, "done"},
@@ -201,7 +200,11 @@
 
 std::string write_standing(const JobStanding& s, bool with_counts) {
   Writer w;
-  w.map(with_counts ? 4 : 2).key("id").text(s.id).key("standing").text(name_of(kStandings, s.state));
+  w.map(with_counts ? 4 : 2)
+      .key("id")
+      .text(s.id)
+      .key("standing")
+      .text(name_of(kStandings, s.state));
   if (with_counts) w.key("done").count(s.done).key("running").count(s.running);
   return w.take();
 }
--- a/src/dunlinknot/wire/messages.hpp
+++ b/src/dunlinknot/wire/messages.hpp
@@ -75,9 +75,7 @@
 };
 
 enum class TaskState : uint8_t { fetching, waiting, running, saving, exited };
-enum class ExitCause : uint8_t {
-  none, done, stopped, peers, alone, error, no_room, busy, unknown
-};
+enum class ExitCause : uint8_t { none, done, stopped, peers, alone, error, no_room, busy, unknown };
 
 struct TaskRef {
   std::string job;
--- a/src/dunlinknot/wire/pack.cpp
+++ b/src/dunlinknot/wire/pack.cpp
@@ -29,13 +29,16 @@
 std::optional<double> View::amount() const {
   if (!o_) return std::nullopt;
   switch (o_->type) {
-    case msgpack::type::POSITIVE_INTEGER: return static_cast<double>(o_->via.u64);
-    case msgpack::type::NEGATIVE_INTEGER: return static_cast<double>(o_->via.i64);
+    case msgpack::type::POSITIVE_INTEGER:
+      return static_cast<double>(o_->via.u64);
+    case msgpack::type::NEGATIVE_INTEGER:
+      return static_cast<double>(o_->via.i64);
     case msgpack::type::FLOAT32:
     case msgpack::type::FLOAT64:
       if (std::isfinite(o_->via.f64)) return o_->via.f64;
       return std::nullopt;
-    default: return std::nullopt;
+    default:
+      return std::nullopt;
   }
 }
 
--- a/src/dunlinknot/wire/pack.hpp
+++ b/src/dunlinknot/wire/pack.hpp
@@ -27,8 +27,8 @@
   View value_at(size_t i) const { return View(&o_->via.map.ptr[i].val); }
 
   std::optional<std::string_view> text() const;
-  std::optional<uint64_t> count() const;    // a whole number of at least 0
-  std::optional<double> amount() const;     // whole or decimal, finite
+  std::optional<uint64_t> count() const;  // a whole number of at least 0
+  std::optional<double> amount() const;   // whole or decimal, finite
   std::optional<bool> flag() const;
 
  private:
--- a/src/dunlinknot/wire/peer.cpp
+++ b/src/dunlinknot/wire/peer.cpp
@@ -33,8 +33,8 @@
   T get() {
     T v = 0;
     for (size_t i = 0; i < sizeof(T); ++i) {
-      v = static_cast<T>(v | static_cast<T>(static_cast<T>(static_cast<unsigned char>(bytes[i]))
-                                            << (8 * i)));
+      v = static_cast<T>(
+          v | static_cast<T>(static_cast<T>(static_cast<unsigned char>(bytes[i])) << (8 * i)));
     }
     bytes.remove_prefix(sizeof(T));
     return v;
--- a/src/dunlinknot/wire/peer.hpp
+++ b/src/dunlinknot/wire/peer.hpp
@@ -2,7 +2,8 @@
 // a version in every frame and a length that is checked before anything is read.
 //
 //   frame  = magic u32 | version u16 | kind u16 | length u32 | body[length]
-//   status = seq u64 | echo u64 | epoch u64 | state_silent_ms u32 | up_ms u32 | beats_silent_ms u32 |
+//   status = seq u64 | echo u64 | epoch u64 | state_silent_ms u32 | up_ms u32 | beats_silent_ms u32
+//   |
 //            flags u32 | node char[32] | leader char[32]
 //   progress = epoch u64 | count u32 | reserved u32 | count * entry
 //   entry  = id char[24] | done u32 | running u32
@@ -32,9 +33,9 @@
 };
 
 struct Status {
-  uint64_t seq = 0;       // of the sender
-  uint64_t echo = 0;      // the last seq it has seen from the receiver
-  uint64_t epoch = 0;     // the highest leadership it knows of
+  uint64_t seq = 0;        // of the sender
+  uint64_t echo = 0;       // the last seq it has seen from the receiver
+  uint64_t epoch = 0;      // the highest leadership it knows of
   Millis state_silent{0};  // since the state service last served it
   Millis up{0};            // since its process began
   Millis beats_silent{0};  // since a worker last reached it
--- a/src/dunlinknot/wire/records.cpp
+++ b/src/dunlinknot/wire/records.cpp
@@ -14,12 +14,18 @@
 constexpr std::string_view kHex = "0123456789abcdef";
 }  // namespace
 
-std::string job_key(std::string_view id) { return join(kJobPrefix, id); }
-std::string final_key(std::string_view id) { return join(kFinalPrefix, id); }
+std::string job_key(std::string_view id) {
+  return join(kJobPrefix, id);
+}
+std::string final_key(std::string_view id) {
+  return join(kFinalPrefix, id);
+}
 std::string done_key(std::string_view id, uint32_t chunk) {
   return join(kDonePrefix, id) + "/" + std::to_string(chunk);
 }
-std::string host_key(std::string_view machine) { return join(kHostPrefix, machine); }
+std::string host_key(std::string_view machine) {
+  return join(kHostPrefix, machine);
+}
 
 std::string_view after_prefix(std::string_view key, std::string_view prefix) {
   return key.starts_with(prefix) ? key.substr(prefix.size()) : std::string_view();
@@ -82,7 +88,9 @@
   return w.take();
 }
 
-std::optional<uint64_t> read_epoch(View v) { return v["n"].count(); }
+std::optional<uint64_t> read_epoch(View v) {
+  return v["n"].count();
+}
 
 std::string write_done_chunk(const std::vector<bool>& done, uint32_t chunk) {
   const size_t begin = size_t{chunk} * kChunkTasks;
--- a/src/dunlinknot/workers/desk.cpp
+++ b/src/dunlinknot/workers/desk.cpp
@@ -51,7 +51,8 @@
     case BeatAnswer::Kind::stale:
       out.status = 503;
       co_return out;
-    case BeatAnswer::Kind::accept: break;
+    case BeatAnswer::Kind::accept:
+      break;
   }
   last_own_beat_ = now;
   out.body = wire::write_orders(domain_.epoch, std::nullopt, answer.commands);
--- a/src/dunlinknot/workers/desk.hpp
+++ b/src/dunlinknot/workers/desk.hpp
@@ -17,7 +17,7 @@
   Task<void> call_stops(uint64_t reign);
 
   bool ever_beaten() const { return ever_; }
-  Instant last_beat() const { return last_beat_; }        // any worker reached us
+  Instant last_beat() const { return last_beat_; }          // any worker reached us
   Instant last_own_beat() const { return last_own_beat_; }  // and we answered it as the leader
 
  private:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -16,8 +16,8 @@
 int set_up_log() {
   const char* level = std::getenv("LOG_LEVEL");
   const std::string_view text = level ? level : "info";
-  auto logger = std::make_shared<spdlog::logger>(
-      "dunlinknot", std::make_shared<spdlog::sinks::stderr_sink_st>());
+  auto logger = std::make_shared<spdlog::logger>("dunlinknot",
+                                                 std::make_shared<spdlog::sinks::stderr_sink_st>());
   logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
   spdlog::set_default_logger(logger);
   if (text == "error") {
@@ -37,8 +37,9 @@
   SystemClock clock;
   Loop loop(clock);
   http::Client transport(loop, 12, std::chrono::seconds(20));
-  const auto seed = static_cast<uint32_t>(std::hash<std::string>{}(platform.node) ^
-                                          static_cast<size_t>(clock.wall().time_since_epoch().count()));
+  const auto seed =
+      static_cast<uint32_t>(std::hash<std::string>{}(platform.node) ^
+                            static_cast<size_t>(clock.wall().time_since_epoch().count()));
   node::Daemon daemon(loop, platform, op, transport, seed);
   daemon.start();
   spdlog::info("dunlinknot {} serves as {} on {}", DUNLINKNOT_VERSION, platform.node,
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -21,7 +21,9 @@
                        end == std::string::npos ? end : end - at - name.size() - 1);
 }
 
-uint64_t number(const std::string& s) { return s.empty() ? 0 : std::stoull(s); }
+uint64_t number(const std::string& s) {
+  return s.empty() ? 0 : std::stoull(s);
+}
 
 Reply reply(int status, std::string body = "") {
   Reply r;
@@ -391,7 +393,12 @@
     const auto it = tasks.find(key);
     if (verb == "run") {
       if (it != tasks.end()) continue;
-      Running r{task, attempt, TaskState::running, ExitCause::none, false, loop_.now(),
+      Running r{task,
+                attempt,
+                TaskState::running,
+                ExitCause::none,
+                false,
+                loop_.now(),
                 loop_.now() + (run_time ? run_time(task) : Nanos(seconds(5)))};
       for (const auto& [k, t] : tasks) {
         if (k.first == task && t.state != TaskState::exited) {
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -165,11 +165,11 @@
   void lose_lease();
 
   bool on = true;
-  bool cut = false;            // nothing in or out
+  bool cut = false;             // nothing in or out
   bool drop_responses = false;  // they come too late
   bool refuse_direct = false;
-  std::function<Nanos(const TaskRef&)> run_time;         // default 5 s
-  std::function<bool(const TaskRef&)> fails;             // default never
+  std::function<Nanos(const TaskRef&)> run_time;  // default 5 s
+  std::function<bool(const TaskRef&)> fails;      // default never
   std::map<std::string, JobSpec>* specs = nullptr;
   std::optional<Seconds> notice;
   std::map<std::pair<TaskRef, uint64_t>, Running> tasks;
