--- /dev/null
+++ b/tests/cluster_test.cpp
@@ -0,0 +1,367 @@
+// The leader's picture of the cluster: when a booking begins and, above all, when it ends.
+#include "dunlinknot/cluster/cluster.hpp"
+
+#include <gtest/gtest.h>
+
+#include "dunlinknot/leadership/elector.hpp"
+#include "support.hpp"
+
+namespace dunlinknot::cluster {
+namespace {
+
+using std::chrono::seconds;
+using test::job;
+
+struct ClusterTest : testing::Test {
+  ClusterTest() {
+    MachineType box;
+    box.name = "box";
+    box.size = {8, 0, 32};
+    box.cache_gb = 50;
+    box.zones = {"a", "b"};
+    c.begin_reign(5, now);
+    c.set_catalog({box});
+  }
+
+  Job& add(JobSpec spec) {
+    const std::string id = spec.id;
+    c.load_job({std::move(spec), WallTime(Millis(1))}, 10, now);
+    return *c.job(id);
+  }
+  Beat beat(const std::string& vm = "vm-1") {
+    Beat b;
+    b.machine = vm;
+    b.address = "10.0.0.1:9000";
+    b.type = "box";
+    b.zone = "a";
+    b.session = session;
+    b.seq = ++seq;
+    b.token = token;
+    return b;
+  }
+  std::vector<Command> send(const Beat& b, bool may_start = true) {
+    needs = Needs{};
+    return c.on_beat(b, now, may_start, needs).commands;
+  }
+  TaskReport on(const Booking& b, TaskState s = TaskState::running,
+                ExitCause cause = ExitCause::none) {
+    return {b.task, b.attempt, s, cause, false};
+  }
+  // Books one task of the job on vm-1 and makes it durable.
+  Booking& durable(Job& j, const std::string& vm = "vm-1") {
+    Host& h = *c.host(vm);
+    c.book(h, j, *j.take_pending(), c.next_attempt(), now);
+    Needs n;
+    c.host_stored(h, c.record_of(h), ++stamp, n);
+    return h.bookings.back();
+  }
+  size_t booked(const std::string& vm = "vm-1") { return c.host(vm)->bookings.size(); }
+
+  settings::Platform platform = test::Site::platform(0, 1);
+  settings::Operator op;
+  Cluster c{platform, op};
+  Instant now{seconds(100)};
+  uint64_t session = 1, seq = 0, token = 5, stamp = 20;
+  Needs needs;
+};
+
+TEST_F(ClusterTest, ARunGoesOutOnlyOnceItsBookingIsDurable) {
+  Job& j = add(job("run-000001", 2));
+  send(beat());
+  Host& h = *c.host("vm-1");
+  c.book(h, j, *j.take_pending(), c.next_attempt(), now);
+  EXPECT_TRUE(send(beat()).empty());
+  Needs n;
+  c.host_stored(h, c.record_of(h), 21, n);
+  EXPECT_TRUE(send(beat(), false).empty()) << "without the state service nothing starts";
+  const auto orders = send(beat());
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].op, Command::Op::start);
+}
+
+TEST_F(ClusterTest, ALostResponseIsSaidAgainAndTheBookingStays) {
+  Job& j = add(job("run-000001"));
+  send(beat());
+  durable(j);
+  ASSERT_EQ(send(beat()).size(), 1u);
+  const auto again = send(beat());  // newer, and without the task: the response was dropped
+  ASSERT_EQ(again.size(), 1u);
+  EXPECT_EQ(again[0].op, Command::Op::start);
+  EXPECT_EQ(booked(), 1u);
+}
+
+TEST_F(ClusterTest, ALateReportChangesNothing) {
+  Job& j = add(job("run-000001"));
+  send(beat());
+  const Beat late = beat();
+  const Booking& b = durable(j);
+  Beat with = beat();
+  send(with);
+  Beat running = beat();
+  running.tasks = {on(b)};
+  send(running);
+  EXPECT_TRUE(send(late).empty());
+  EXPECT_EQ(booked(), 1u);
+  Beat old_session = late;
+  old_session.session = 0;
+  old_session.seq = 1000;
+  EXPECT_TRUE(send(old_session).empty());
+  EXPECT_EQ(booked(), 1u);
+}
+
+TEST_F(ClusterTest, ATaskThatVanishesEndsItsBookingOnlyUnderOurBaton) {
+  Job& j = add(job("run-000001"));
+  send(beat());
+  const Booking& b = durable(j);
+  send(beat());
+  Beat running = beat();
+  running.tasks = {on(b)};
+  send(running);
+  token = 4;  // an older leader's baton: its commands may still count there
+  send(beat());
+  EXPECT_EQ(booked(), 1u);
+  token = 5;
+  send(beat());
+  EXPECT_EQ(booked(), 0u);
+  EXPECT_EQ(j.pending(), 1u);
+}
+
+TEST_F(ClusterTest, InheritedBookingsStayUntilAReportBearsOurBaton) {
+  Job& j = add(job("run-000001", 2));
+  wire::HostRecord r{
+      "box", "a", "10.0.0.1:9000", false, {{"run-000001", "red", {2, 0, 4}, false, {{0, 3}}}}};
+  c.load_host("vm-1", r, 7, now);
+  EXPECT_EQ(c.usage(0).used.cpus, 2);
+  EXPECT_EQ(j.pending(), 1u) << "task 0 may run there and may not be started elsewhere";
+  token = 4;
+  send(beat());
+  EXPECT_EQ(booked(), 1u) << "the former leader's `run` may still arrive";
+  token = 5;
+  send(beat());
+  EXPECT_EQ(booked(), 0u);
+  EXPECT_EQ(j.pending(), 2u);
+}
+
+TEST_F(ClusterTest, ASilentWorkerIsTimedOutFromWhatWeAnsweredLast) {
+  Job& j = add(job("run-000001"));
+  send(beat());
+  durable(j);
+  send(beat());
+  const Instant answered = now;
+  now = answered + seconds(14);
+  c.expire(now);
+  EXPECT_EQ(booked(), 1u) << "clocks drift: not on the second";
+  now = answered + leadership::lease_bound(platform);
+  c.expire(now);
+  EXPECT_EQ(booked(), 0u);
+  EXPECT_TRUE(c.host("vm-1")->lost);
+  // A report of the old session that was held up on its way brings nothing back.
+  EXPECT_EQ(c.on_beat(beat(), now, true, needs).kind, BeatAnswer::Kind::stale);
+  session = 2;
+  seq = 0;
+  EXPECT_EQ(c.on_beat(beat(), now, true, needs).kind, BeatAnswer::Kind::accept);
+}
+
+TEST_F(ClusterTest, ANewLeaderWaitsForTheBlindWindowOfTheOldOne) {
+  add(job("run-000001"));
+  wire::HostRecord r{
+      "box", "a", "10.0.0.1:9000", false, {{"run-000001", "red", {2, 0, 4}, false, {{0, 3}}}}};
+  c.load_host("vm-1", r, 7, now);
+  const Nanos wait = leadership::blind_window(platform) + leadership::lease_bound(platform);
+  c.expire(now + wait - Millis(1));
+  EXPECT_EQ(booked(), 1u);
+  c.expire(now + wait + seconds(1));
+  EXPECT_EQ(booked(), 0u);
+  // blind window + lease + margin stay inside the time a cancellation has.
+  EXPECT_LT(wait + seconds(1), to_nanos(platform.cancel));
+}
+
+TEST_F(ClusterTest, DeletingAMachineEndsWhatWasOnItAndItsLateReportsAreNotBelieved) {
+  Job& j = add(job("run-000001"));
+  send(beat());
+  durable(j);
+  c.remove_host("vm-1", now);
+  EXPECT_EQ(j.pending(), 1u);
+  EXPECT_EQ(c.usage(0).used.cpus, 0);
+  EXPECT_EQ(c.on_beat(beat(), now, true, needs).kind, BeatAnswer::Kind::stale);
+  EXPECT_EQ(c.host("vm-1"), nullptr);
+  EXPECT_EQ(c.take_dead_records().size(), 1u);
+}
+
+TEST_F(ClusterTest, ANewSessionEndsWhatWasSentInTheOldOne) {
+  Job& j = add(job("run-000001", 2));
+  send(beat());
+  durable(j);
+  send(beat());
+  session = 2;
+  seq = 0;
+  EXPECT_TRUE(send(beat()).empty());
+  EXPECT_EQ(booked(), 0u);
+  EXPECT_EQ(j.pending(), 2u);
+}
+
+TEST_F(ClusterTest, ADoneTaskIsForgottenOnlyWhenItsCompletionIsDurable) {
+  Job& j = add(job("run-000001", 2));
+  send(beat());
+  const Booking b = durable(j);
+  send(beat());
+  Beat ended = beat();
+  ended.tasks = {on(b, TaskState::exited, ExitCause::done)};
+  EXPECT_TRUE(send(ended).empty());
+  EXPECT_TRUE(needs.store_done);
+  EXPECT_EQ(j.done_count(), 1u);
+  j.chunk_stored(0, j.done_bits(), 30);
+  ended.seq = ++seq;
+  const auto orders = send(ended);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].op, Command::Op::forget);
+}
+
+TEST_F(ClusterTest, ACancelledJobIsStoppedEverywhereAndStaysBookedUntilGone) {
+  Job& j = add(job("run-000001", 3));
+  send(beat());
+  const Booking running = durable(j);
+  send(beat());
+  Beat b = beat();
+  b.tasks = {on(running)};
+  send(b);
+  durable(j);  // its run has not gone out
+  c.close_job("run-000001", true, now);
+  EXPECT_EQ(booked(), 1u);
+  EXPECT_EQ(c.usage(0).used.cpus, 2) << "its team's limit counts it until it is gone";
+  const auto calls = c.take_stop_calls();
+  ASSERT_EQ(calls.size(), 1u);
+  EXPECT_EQ(calls[0].commands[0].grace, Seconds(0));
+  b.seq = ++seq;
+  const auto orders = send(b);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].op, Command::Op::stop);
+  send(beat());
+  EXPECT_EQ(booked(), 0u);
+  EXPECT_EQ(c.usage(0).used.cpus, 0);
+}
+
+TEST_F(ClusterTest, AReturningMachineWithTasksOfAClosedJobIsToldToStopThem) {
+  Beat b = beat();
+  b.tasks = {{{"run-000009", 0}, 3, TaskState::running, ExitCause::none, false}};
+  const auto orders = send(b);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].op, Command::Op::stop);
+  EXPECT_EQ(orders[0].grace, Seconds(0));
+  EXPECT_EQ(booked(), 1u);
+}
+
+TEST_F(ClusterTest, AGangStartsWhenAllItsBookingsStandAndBreaksAsAWhole) {
+  JobSpec g = job("run-000001", 2);
+  g.gang = true;
+  Job& j = add(g);
+  send(beat("vm-1"));
+  send(beat("vm-2"));
+  const uint64_t attempt = c.next_attempt();
+  Host& h1 = *c.host("vm-1");
+  Host& h2 = *c.host("vm-2");
+  c.book(h1, j, *j.take_pending(), attempt, now);
+  c.book(h2, j, *j.take_pending(), attempt, now);
+  Needs n;
+  c.host_stored(h1, c.record_of(h1), 21, n);
+  EXPECT_TRUE(send(beat("vm-1")).empty()) << "the other booking does not stand yet";
+  c.host_stored(h2, c.record_of(h2), 22, n);
+  EXPECT_EQ(send(beat("vm-1")).size(), 1u);
+  EXPECT_EQ(send(beat("vm-2")).size(), 1u);
+  Beat b1 = beat("vm-1");
+  b1.tasks = {on(h1.bookings[0], TaskState::waiting)};
+  send(b1);
+  // One machine goes: the rest is stopped at once, and nothing starts before all of it is gone.
+  c.remove_host("vm-2", now);
+  EXPECT_TRUE(j.any_live());
+  const auto calls = c.take_stop_calls();
+  ASSERT_EQ(calls.size(), 1u);
+  EXPECT_EQ(calls[0].host, "vm-1");
+  send(beat("vm-1"));
+  EXPECT_FALSE(j.any_live());
+  EXPECT_EQ(j.pending(), 2u);
+}
+
+TEST_F(ClusterTest, AJobFailingEverywhereBacksOffAndItsMachinesAreNotBlamed) {
+  Job& j = add(job("run-000001", 10));
+  for (int i = 1; i <= 3; ++i) {
+    const std::string vm = "vm-" + std::to_string(i);
+    for (int k = 0; k < 3; ++k) {
+      send(beat(vm));
+      const Booking b = durable(j, vm);
+      send(beat(vm));
+      Beat ended = beat(vm);
+      ended.tasks = {on(b, TaskState::exited, ExitCause::error)};
+      send(ended);
+    }
+    EXPECT_FALSE(c.host(vm)->draining) << vm;
+  }
+  EXPECT_TRUE(j.failing);
+  EXPECT_GT(j.not_before, now);
+}
+
+TEST_F(ClusterTest, AMachineFailingWhatOthersCompleteIsDrained) {
+  Job& j = add(job("run-000001", 10));
+  send(beat("vm-2"));
+  const Booking fine = durable(j, "vm-2");
+  send(beat("vm-2"));
+  Beat ok = beat("vm-2");
+  ok.tasks = {on(fine, TaskState::exited, ExitCause::done)};
+  send(ok);
+  for (int k = 0; k < 3; ++k) {
+    send(beat());
+    const Booking b = durable(j);
+    send(beat());
+    Beat ended = beat();
+    ended.tasks = {on(b, TaskState::exited, ExitCause::error)};
+    send(ended);
+  }
+  EXPECT_TRUE(c.host("vm-1")->draining);
+  EXPECT_FALSE(c.host("vm-2")->draining);
+}
+
+TEST_F(ClusterTest, AHigherBatonInABeatSupersedesUs) {
+  token = 6;
+  EXPECT_EQ(c.on_beat(beat(), now, true, needs).kind, BeatAnswer::Kind::superseded);
+}
+
+TEST_F(ClusterTest, ACheckpointingTaskIsSavedBeforeARecall) {
+  JobSpec s = job("run-000001");
+  s.checkpoint = Seconds(10);
+  s.save = Seconds(3);
+  Job& j = add(s);
+  send(beat());
+  const Booking b = durable(j);
+  send(beat());
+  Beat r = beat();
+  r.tasks = {on(b)};
+  r.notice = Seconds(12);
+  send(r);
+  c.tick(now);
+  EXPECT_TRUE(c.take_stop_calls().empty()) << "it works on while there is time";
+  now += seconds(6);
+  c.tick(now);
+  const auto calls = c.take_stop_calls();
+  ASSERT_EQ(calls.size(), 1u);
+  EXPECT_GE(calls[0].commands[0].grace, s.save);
+}
+
+TEST_F(ClusterTest, AnOverlongRecordIsNeverPlanned) {
+  JobSpec s = job("run-000001", 10'000);
+  s.need = {0.001, 0, 0.001};
+  Job& j = add(s);
+  send(beat());
+  Host& h = *c.host("vm-1");
+  size_t n = 0;
+  while (c.room_in_record(h) && n < 10'000) {
+    c.book(h, j, *j.take_pending(), c.next_attempt(), now);
+    ++n;
+  }
+  EXPECT_GT(n, 50u);
+  // As the platform counts it: 32 characters a task is more than any pair of numbers takes here.
+  EXPECT_LT(n * 32, platform.value_bytes);
+  EXPECT_LT(wire::write_host(c.record_of(h)).size(), platform.value_bytes);
+}
+
+}  // namespace
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/tests/preemption_test.cpp
@@ -0,0 +1,297 @@
+// Nominations, victim lists and the two passes (KEP-5690, "Claim nomination" and below).
+#include <gtest/gtest.h>
+
+#include "dunlinknot/scheduler/scheduler.hpp"
+#include "support.hpp"
+
+namespace dunlinknot::preemption {
+namespace {
+
+using cluster::Booking;
+using cluster::Cluster;
+using cluster::Host;
+using cluster::Job;
+using cluster::Needs;
+using cluster::Phase;
+using std::chrono::seconds;
+using test::job;
+
+struct PreemptionTest : testing::Test {
+  PreemptionTest() {
+    MachineType box;
+    box.name = "box";
+    box.size = {8, 0, 32};
+    box.zones = {"a"};
+    c.begin_reign(1, now);
+    c.set_catalog({box});
+    machine("vm-1");
+    // Nothing can be rented.
+    market.refused = {{"box", "a", false}, {"box", "a", true}};
+  }
+  Host& machine(const std::string& id) {
+    Beat b;
+    b.machine = id;
+    b.address = "10.0.0.1:9000";
+    b.type = "box";
+    b.zone = "a";
+    b.session = 1;
+    b.seq = ++seq;
+    b.token = 1;
+    Needs needs;
+    c.on_beat(b, now, false, needs);
+    return *c.host(id);
+  }
+  Job& add(const std::string& id, Priority p, double cpus, uint32_t tasks = 1,
+           const std::string& team = "red") {
+    JobSpec s = job(id, tasks);
+    s.priority = p;
+    s.team = team;
+    s.need = {cpus, 0, 1};
+    c.load_job({s, WallTime(Millis(seq++))}, 10, now);
+    return *c.job(id);
+  }
+  Booking& run(Job& j, Host& h) {
+    Booking& b = c.book(h, j, *j.take_pending(), c.next_attempt(), now);
+    b.phase = Phase::seen;
+    b.state = TaskState::running;
+    b.running_since = now;
+    return b;
+  }
+  scheduler::Plan plan() {
+    n.settle(c);
+    return scheduler::plan(c, n, market, platform, op, WallTime(Millis(100'000)), now);
+  }
+  // Carries the plan's evictions out, as the leader does.
+  void carry_out(const scheduler::Plan& p) {
+    for (const uint64_t id : p.cleared) n.end(id, End::cleared);
+    for (const auto& e : p.evictions) {
+      if (e.renews) n.end(e.renews, End::renominated);
+      for (const auto& v : e.victims) {
+        Host& h = *c.host(e.host);
+        c.stop(h, *h.find(v.task, v.attempt), cluster::StopReason::preempted, Seconds(0), now);
+      }
+      n.add(e.job, e.host, e.room, e.priority, e.victims);
+    }
+  }
+  // The worker's report drops what was stopped.
+  void victims_gone(Host& h) {
+    Beat b;
+    b.machine = h.id;
+    b.address = h.address;
+    b.type = "box";
+    b.zone = "a";
+    b.session = 1;
+    b.seq = seq = std::max(seq, h.seq) + 1;
+    b.token = 1;
+    for (const Booking& k : h.bookings) {
+      if (!k.stopping()) b.tasks.push_back({k.task, k.attempt, TaskState::running, {}, false});
+    }
+    Needs needs;
+    c.on_beat(b, now, false, needs);
+    n.settle(c);
+  }
+
+  settings::Platform platform = test::Site::platform(0, 1);
+  settings::Operator op;
+  Cluster c{platform, op};
+  Nominations n;
+  scheduler::Market market;
+  Instant now{seconds(100)};
+  uint64_t seq = 1;
+};
+
+TEST_F(PreemptionTest, EvictsOnlyWhenNothingCanBeRented) {
+  Host& h = *c.host("vm-1");
+  run(add("run-000001", Priority::low, 8), h);
+  add("run-000002", Priority::high, 4);
+  market.refused.clear();
+  EXPECT_TRUE(plan().evictions.empty());
+  EXPECT_FALSE(plan().wishes.empty());
+  market.refused = {{"box", "a", false}, {"box", "a", true}};
+  const auto p = plan();
+  ASSERT_EQ(p.evictions.size(), 1u);
+  EXPECT_EQ(p.evictions[0].room.cpus, 4) << "the exact room, not the victim's";
+}
+
+TEST_F(PreemptionTest, TakesBackVictimsThatNeedNotGo) {
+  Host& h = *c.host("vm-1");
+  Job& low = add("run-000001", Priority::low, 2, 4);
+  for (int i = 0; i < 4; ++i) run(low, h);
+  add("run-000002", Priority::high, 4);
+  const auto p = plan();
+  ASSERT_EQ(p.evictions.size(), 1u);
+  EXPECT_EQ(p.evictions[0].victims.size(), 2u);
+}
+
+TEST_F(PreemptionTest, EqualPriorityIsNoVictimAndGangsAreNeither) {
+  Host& h = *c.host("vm-1");
+  run(add("run-000001", Priority::normal, 4), h);
+  JobSpec g = job("run-000003", 1);
+  g.gang = true;
+  g.priority = Priority::low;
+  g.need = {4, 0, 1};
+  c.load_job({g, WallTime(Millis(1))}, 10, now);
+  run(*c.job("run-000003"), h).gang = true;
+  add("run-000002", Priority::normal, 4);
+  EXPECT_TRUE(plan().evictions.empty());
+  c.close_job("run-000002", false, now);
+  JobSpec pre = g;
+  pre.id = "run-000004";
+  pre.priority = Priority::production;
+  pre.need = {8, 0, 1};
+  c.load_job({pre, WallTime(Millis(2))}, 10, now);
+  EXPECT_TRUE(plan().evictions.empty()) << "a gang does not preempt";
+}
+
+TEST_F(PreemptionTest, NoSecondPreemptionWhileAVictimIsBooked) {
+  Host& h = *c.host("vm-1");
+  run(add("run-000001", Priority::low, 8), h);
+  Host& other = machine("vm-2");
+  run(add("run-000005", Priority::low, 8), other);
+  add("run-000002", Priority::high, 4);
+  carry_out(plan());
+  ASSERT_EQ(n.all().size(), 1u);
+  for (int i = 0; i < 3; ++i) {
+    now += seconds(30);
+    other.last_heard = h.last_heard = now;
+    EXPECT_TRUE(plan().evictions.empty()) << "no timer makes it try elsewhere";
+    EXPECT_EQ(n.all().size(), 1u);
+  }
+}
+
+TEST_F(PreemptionTest, TheHoldKeepsEqualAndLowerPrioritiesOutAndNotHigherOnes) {
+  Host& h = *c.host("vm-1");
+  run(add("run-000001", Priority::low, 8), h);
+  add("run-000002", Priority::normal, 6);
+  carry_out(plan());
+  victims_gone(h);
+  ASSERT_TRUE(h.bookings.empty());
+  c.job("run-000002")->not_before = now + seconds(5);  // the preemptor is not tried this round
+  c.job("run-000001")->not_before = now + seconds(5);
+  add("run-000003", Priority::normal, 4);
+  add("run-000004", Priority::low, 2);
+  auto p = plan();
+  ASSERT_EQ(p.placements.size(), 1u) << "two of the eight are not held";
+  EXPECT_EQ(p.placements[0].job, "run-000004");
+  add("run-000006", Priority::high, 8);
+  p = plan();
+  ASSERT_FALSE(p.placements.empty());
+  EXPECT_EQ(p.placements[0].job, "run-000006") << "a higher priority ignores the hold";
+}
+
+TEST_F(PreemptionTest, RoomThatIsThereOnlyWithTheHoldIsNotUsed) {
+  // The victim held 8, the preemptor takes 2: pass 1 sees 6 free (victim subtracted, hold added),
+  // but until the victim's report drops it nothing is free in pass 2.
+  Host& h = *c.host("vm-1");
+  run(add("run-000001", Priority::low, 8), h);
+  add("run-000002", Priority::high, 2);
+  carry_out(plan());
+  add("run-000003", Priority::normal, 4);
+  EXPECT_TRUE(plan().placements.empty());
+  victims_gone(h);
+  std::set<std::string> placed;
+  for (const auto& x : plan().placements) placed.insert(x.job);
+  EXPECT_TRUE(placed.contains("run-000002"));
+  EXPECT_TRUE(placed.contains("run-000003"));
+}
+
+TEST_F(PreemptionTest, ASharedVictimServesTwoPreemptors) {
+  Host& h = *c.host("vm-1");
+  run(add("run-000001", Priority::low, 8), h);
+  add("run-000002", Priority::normal, 4);
+  carry_out(plan());
+  add("run-000003", Priority::normal, 4);
+  const auto p = plan();
+  ASSERT_EQ(p.evictions.size(), 1u) << "the other half of what the victim leaves";
+  carry_out(p);
+  EXPECT_EQ(n.all().size(), 2u);
+  EXPECT_EQ(n.victims_on("vm-1")->size(), 1u);
+  add("run-000007", Priority::normal, 4);
+  EXPECT_TRUE(plan().evictions.empty()) << "both halves are held";
+}
+
+TEST_F(PreemptionTest, PlacementTriesTheHeldRoomFirstAndEndsTheNomination) {
+  Host& h = *c.host("vm-1");
+  run(add("run-000001", Priority::low, 8), h);
+  add("run-000002", Priority::high, 4);
+  carry_out(plan());
+  victims_gone(h);
+  machine("vm-2");  // empty, and as good
+  const auto p = plan();
+  ASSERT_FALSE(p.placements.empty());
+  EXPECT_EQ(p.placements[0].host, "vm-1");
+  ASSERT_EQ(p.placements[0].ends_nominations.size(), 1u);
+  n.end(p.placements[0].ends_nominations[0], End::placed);
+  EXPECT_TRUE(n.all().empty());
+}
+
+TEST_F(PreemptionTest, TheVictimListOutlivesItsNomination) {
+  Host& h = *c.host("vm-1");
+  run(add("run-000001", Priority::low, 8), h);
+  add("run-000002", Priority::high, 4);
+  carry_out(plan());
+  n.job_closed("run-000002");  // cancelled
+  EXPECT_TRUE(n.all().empty());
+  EXPECT_TRUE(n.settling("vm-1"));
+  n.settle(c);
+  EXPECT_TRUE(n.settling("vm-1"));
+  victims_gone(h);
+  EXPECT_FALSE(n.settling("vm-1"));
+}
+
+TEST_F(PreemptionTest, AFailedStopCallEndsTheNominationAndFreesTheVictims) {
+  Host& h = *c.host("vm-1");
+  const Booking& b = run(add("run-000001", Priority::low, 8), h);
+  const Victim v{b.task, b.attempt};
+  add("run-000002", Priority::high, 4);
+  carry_out(plan());
+  n.stop_failed("vm-2", {v});
+  EXPECT_EQ(n.all().size(), 1u) << "another machine's call";
+  n.stop_failed("vm-1", {v});
+  EXPECT_TRUE(n.all().empty());
+  EXPECT_FALSE(n.settling("vm-1"));
+}
+
+TEST_F(PreemptionTest, RenominatesOnceTheVictimsAreGoneAndTheRoomIsLost) {
+  Host& h = *c.host("vm-1");
+  run(add("run-000001", Priority::low, 8), h);
+  add("run-000002", Priority::normal, 6);
+  carry_out(plan());
+  const uint64_t first = n.all().begin()->first;
+  victims_gone(h);
+  run(add("run-000003", Priority::high, 8), h);  // a higher priority took the room
+  Host& other = machine("vm-2");
+  run(add("run-000004", Priority::low, 8), other);
+  const auto p = plan();
+  ASSERT_EQ(p.evictions.size(), 1u);
+  EXPECT_EQ(p.evictions[0].renews, first);
+  EXPECT_EQ(p.evictions[0].host, "vm-2");
+  carry_out(p);
+  ASSERT_EQ(n.all().size(), 1u);
+  EXPECT_EQ(n.all().begin()->second.host, "vm-2");
+}
+
+TEST_F(PreemptionTest, AGuaranteeTakesBackWhatOthersBorrowed) {
+  Host& h = *c.host("vm-1");
+  Job& borrowing = add("run-000001", Priority::high, 4, 2, "blue");  // 8 of a guaranteed 8
+  run(borrowing, h);
+  run(borrowing, h);
+  add("run-000002", Priority::low, 4, 1, "red");
+  EXPECT_TRUE(plan().evictions.empty()) << "blue is within its own guarantee";
+  Host& other = machine("vm-2");
+  Job& more = add("run-000003", Priority::high, 4, 2, "blue");
+  run(more, other);
+  run(more, other);
+  const auto p = plan();
+  ASSERT_EQ(p.evictions.size(), 1u);
+  EXPECT_EQ(p.evictions[0].job, "run-000002");
+}
+
+TEST_F(PreemptionTest, AFailingJobDoesNotEvict) {
+  run(add("run-000001", Priority::low, 8), *c.host("vm-1"));
+  add("run-000002", Priority::high, 4).failing = true;
+  EXPECT_TRUE(plan().evictions.empty());
+}
+
+}  // namespace
+}  // namespace dunlinknot::preemption
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,136 @@
+#include "dunlinknot/settings/settings.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace dunlinknot::settings {
+namespace {
+
+class File {
+ public:
+  explicit File(const std::string& text) {
+    static int n = 0;
+    path_ =
+        testing::TempDir() + "dunlinknot-" + std::to_string(::getpid()) + "-" + std::to_string(n++);
+    std::ofstream(path_) << text;
+  }
+  ~File() { std::remove(path_.c_str()); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+const std::string kGood = R"(node = "dunlin-0"
+zone = "a"
+listen = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+unknown_field = 3
+[[seeds]]
+node = "dunlin-1"
+zone = "b"
+addr = "10.0.0.2:8081"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+nodes = 2
+zones = ["a", "b"]
+skew_ms = 5.0
+[[params.teams]]
+name = "red"
+cpus = 8
+cpus_max = 16.0
+[params.workers]
+report_s = 2.5
+lease_s = 14
+gang_wait_s = 40.0
+gang_peer_s = 8.0
+cancel_s = 39.0
+[params.state]
+rps = 200.0
+write_rps = 80.0
+value_kb = 8.0
+txn_ops = 16
+[params.cloud]
+rps = 4.0
+list_lag_s = 10.0
+[params.quota]
+cpu = 0.2
+memory_mb = 104.0
+max_connections = 1800
+)";
+
+std::string problem(std::string text, const std::string& from, const std::string& to) {
+  const auto at = text.find(from);
+  EXPECT_NE(at, std::string::npos) << from;
+  text.replace(at, from.size(), to);
+  const File f(text);
+  try {
+    (void)load_platform(f.path());
+  } catch (const Error& e) {
+    return std::string(e.what()).substr(f.path().size());
+  }
+  return "";
+}
+
+TEST(PlatformFile, IsReadAndUnknownFieldsAreIgnored) {
+  const File f(kGood);
+  const Platform p = load_platform(f.path());
+  EXPECT_EQ(p.peers.size(), 1u);
+  EXPECT_EQ(p.lease, Seconds(14));
+  EXPECT_EQ(p.teams[0].cpus_max, 16);
+  EXPECT_EQ(p.value_bytes, 8192u);
+}
+
+TEST(PlatformFile, ProblemsAreNamedWithTheirLine) {
+  EXPECT_EQ(problem(kGood, "listen = \"10.0.0.1:8080\"\n", ""), ": listen: is missing");
+  EXPECT_EQ(problem(kGood, "10.0.0.1:8080", "host:8080"),
+            ":3: listen: must be an IPv4 address with a port, such as 10.0.0.1:8080");
+  EXPECT_EQ(problem(kGood, "lease_s = 14", "lease_s = \"14\""),
+            ":23: params.workers.lease_s: must be a number");
+  EXPECT_EQ(problem(kGood, "lease_s = 14", "lease_s = 2"),
+            ": params.workers.lease_s: must be longer than report_s");
+  EXPECT_NE(problem(kGood, "rps = 200.0", "rps = -1").find("params.state.rps"), std::string::npos);
+  EXPECT_NE(problem(kGood, "cpus = 8", "cpus = 80").find("exceeds cpus_max"), std::string::npos);
+  EXPECT_NE(problem(kGood, "node = \"dunlin-0\"", "node = ").find(":1: "), std::string::npos);
+}
+
+std::string operator_problem(const std::string& text) {
+  const File f(text);
+  try {
+    (void)load_operator(f.path());
+  } catch (const Error& e) {
+    return std::string(e.what()).substr(f.path().size());
+  }
+  return "";
+}
+
+TEST(OperatorFile, IsReadAndEveryValueChecked) {
+  const File f(
+      "<dunlinknot>\n<fleet>\n<idle-return unit=\"s\">12.5</idle-return>\n</fleet>\n"
+      "<!-- a note --><api><max-polls>9</max-polls></api></dunlinknot>\n");
+  const Operator op = load_operator(f.path());
+  EXPECT_EQ(op.idle_return, Seconds(12.5));
+  EXPECT_EQ(op.max_polls, 9u);
+  EXPECT_EQ(operator_problem("<dunlinknot>\n<fleet>\n<idle>3</idle></fleet></dunlinknot>"),
+            ":3: unknown setting fleet/idle");
+  EXPECT_EQ(operator_problem("<dunlinknot>\n<flee/></dunlinknot>"), ":2: unknown group <flee>");
+  EXPECT_EQ(operator_problem("<dunlinknot><api>\n<max-polls>2.5</max-polls></api></dunlinknot>"),
+            ":2: api/max-polls: must be a whole number");
+  EXPECT_EQ(operator_problem("<dunlinknot><api><max-polls>x</max-polls></api></dunlinknot>"),
+            ":1: api/max-polls: must be a number");
+  EXPECT_EQ(operator_problem("<dunlinknot><api><max-polls>0</max-polls></api></dunlinknot>"),
+            ":1: api/max-polls: must be between 1 and 10000");
+  EXPECT_EQ(operator_problem(
+                "<dunlinknot><fleet><idle-return unit=\"ms\">1</idle-return></fleet></dunlinknot>"),
+            ":1: fleet/idle-return: the unit must be \"s\"");
+  EXPECT_NE(operator_problem("<dunlinknot>\n<fleet>\n</dunlinknot>").find(":3: "),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace dunlinknot::settings
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -485,6 +485,7 @@
 }
 
 Task<Reply> Site::Node::exchange(Call call) {
+  if (dead) co_await site.loop.sleep(std::chrono::hours(1000));
   if (call.to == platform.state) {
     if (cut_from_state) {
       co_await site.loop.sleep_until(call.deadline);
@@ -501,6 +502,22 @@
   co_return none;
 }
 
+void Site::restart(size_t i) {
+  crash(i);
+  graveyard.push_back(std::move(nodes[i]));
+  nodes[i] = std::make_unique<Node>(*this, i);
+}
+
+Task<http::Response> Site::handle(size_t i, http::Request request) {
+  Node& n = *nodes[i];
+  http::Response none;
+  none.status = 0;
+  if (n.dead) co_return none;
+  http::Response r = co_await n.daemon->handle(std::move(request));
+  if (n.dead) co_return none;
+  co_return r;
+}
+
 settings::Platform Site::platform(size_t index, size_t count) {
   settings::Platform p;
   p.node = "dunlin-" + std::to_string(index);
@@ -555,7 +572,7 @@
 
 std::optional<size_t> Site::leader() const {
   for (size_t i = 0; i < nodes.size(); ++i) {
-    if (nodes[i]->daemon->elector().leading()) return i;
+    if (!nodes[i]->dead && nodes[i]->daemon->elector().leading()) return i;
   }
   return std::nullopt;
 }
@@ -575,12 +592,13 @@
   Worker* raw = w.get();
   workers[m.id] = std::move(w);
   // Tries the nodes in turn, as the protocol says; the leader is the one that answers 200.
-  const auto handler = [this](http::Request r) -> Task<http::Response> {
+  const auto handler = [this, id = m.id](http::Request r) -> Task<http::Response> {
     http::Response out;
     out.status = 503;
-    for (auto& n : nodes) {
+    for (size_t i = 0; i < nodes.size(); ++i) {
+      if (cut.contains({i, id})) continue;
       http::Request copy = r;
-      out = co_await n->daemon->handle(std::move(copy));
+      out = co_await handle(i, std::move(copy));
       if (out.status == 200) break;
     }
     co_return out;
@@ -598,7 +616,7 @@
   r.method = std::move(method);
   r.target = std::move(target);
   r.body = std::move(body);
-  return get(daemon(node).handle(std::move(r)));
+  return get(handle(node, std::move(r)));
 }
 
 http::Response Site::submit(const JobSpec& spec, size_t node) {
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -195,15 +195,19 @@
   explicit Site(size_t controllers = 1);
   ~Site() { loop.abandon(); }
 
+  // One process of one controller. A crashed one stays in memory, but nothing goes in or out of it.
   struct Node : http::Transport {
     Node(Site& site, size_t index);
     Task<http::Reply> exchange(http::Call call) override;
     Site& site;
     settings::Platform platform;
     std::unique_ptr<node::Daemon> daemon;
-    std::unique_ptr<Loop> loop;  // of its own, so that a "process" can end
+    bool dead = false;
     bool cut_from_state = false;
   };
+  void crash(size_t i) { nodes[i]->dead = true; }
+  void restart(size_t i);
+  Task<http::Response> handle(size_t i, http::Request request);
 
   static settings::Platform platform(size_t index, size_t count);
   node::Daemon& daemon(size_t i) { return *nodes[i]->daemon; }
@@ -220,6 +224,8 @@
   CloudService cloud{loop};
   std::map<std::string, JobSpec> specs;
   std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<std::unique_ptr<Node>> graveyard;
+  std::set<std::pair<size_t, std::string>> cut;  // node and machine that do not reach one another
   std::map<std::string, std::unique_ptr<Worker>> workers;
   size_t ran_twice = 0;
   size_t starts = 0;
