--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -82,6 +82,11 @@
   note(key, true, "");
 }
 
+void StateService::end_outage() {
+  outage = false;
+  for (auto& [id, lease] : leases_) lease.ends = loop_.now() + lease.ttl;
+}
+
 void StateService::expire() {
   if (outage) return;
   for (auto it = leases_.begin(); it != leases_.end();) {
