Evicting a booking that never went out undoes it at once

Cause: a victim whose run had not gone out was marked as being stopped; no worker ever reports it, so it stayed booked for good and kept its machine from being returned. Ruled out: idle-return itself, and the wanted list.

--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -71,6 +71,14 @@
     return;
   }
   const int team = team_index(record.spec.team);
+  if (const Resources& need = record.spec.need; need.gpus > 0) {
+    // A maximum that fades: large tasks of a while ago should not count for ever.
+    const auto seen = [](double& most, double now_seen) {
+      most = std::max(now_seen, most * 0.95 + now_seen * 0.05);
+    };
+    seen(beside_gpu_.cpus, need.cpus / need.gpus);
+    seen(beside_gpu_.memory_gb, need.memory_gb / need.gpus);
+  }
   jobs_[id] = std::make_unique<Job>(std::move(record.spec), record.submitted, stamp, team, now);
 }
 
@@ -287,6 +295,21 @@
   }
 }
 
+Needs Cluster::preempt(Host& h, const TaskRef& task, uint64_t attempt, Instant now) {
+  Needs needs;
+  Booking* b = h.find(task, attempt);
+  if (!b || b->stopping()) return needs;
+  if (b->phase == Phase::planned || b->phase == Phase::durable) {
+    // No worker will ever report it, so nothing would end it once it counted as being stopped.
+    return end_booking(h, static_cast<size_t>(b - h.bookings.data()), now);
+  }
+  const Job* j = job(task.job);
+  const bool saves = j && j->spec().checkpoint > Seconds(0);
+  stop(h, *b, StopReason::preempted, saves ? j->spec().save + Seconds(1) : Seconds(0), now);
+  needs.stops = true;
+  return needs;
+}
+
 Needs Cluster::drop_unsent(const std::string& id, Instant now) {
   Needs needs;
   for (auto& [name, h] : hosts_) {
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -152,6 +152,9 @@
   const std::vector<settings::Team>& teams() const { return platform_.teams; }
   const TeamUsage& usage(int team) const { return usage_[static_cast<size_t>(team)]; }
 
+  // What a task with one accelerator takes besides, as seen of late; empty before the first.
+  const Resources& beside_gpu() const { return beside_gpu_; }
+
   // --- machines
   void set_catalog(std::vector<MachineType> types);
   const std::vector<MachineType>& catalog() const { return catalog_; }
@@ -176,6 +179,8 @@
   // --- decisions
   Booking& book(Host& host, Job& job, uint32_t index, uint64_t attempt, Instant now);
   void stop(Host& host, Booking& booking, StopReason reason, Seconds grace, Instant now);
+  // Gives a booking up for another: undone at once if its `run` never went out, else stopped.
+  Needs preempt(Host& host, const TaskRef& task, uint64_t attempt, Instant now);
   Needs drop_unsent(const std::string& job, Instant now);  // planned bookings of a job are undone
   std::vector<StopCall> take_stop_calls();
   Needs tick(Instant now);  // recalls that are due, stops that hang
@@ -217,6 +222,7 @@
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::vector<TeamUsage> usage_;
+  Resources beside_gpu_;
   std::map<std::string, Instant> gone_;  // machines removed of late: late reports are not believed
   std::vector<std::pair<std::string, uint64_t>> dead_records_;
   std::vector<std::string> stop_hosts_;  // hosts with stops that were not called out yet
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -264,6 +264,7 @@
 
 void Daemon::apply(const scheduler::Plan& plan, Instant now) {
   bool booked = false;
+  Needs needs;
   domain_.picture.with([&](Picture& p) {
     for (const uint64_t id : plan.cleared) p.nominations.end(id, preemption::End::cleared);
     for (const auto& x : plan.placements) {
@@ -295,12 +296,7 @@
       Host* h = p.cluster.host(e.host);
       std::string names;
       for (const auto& v : e.victims) {
-        cluster::Booking* b = h->find(v.task, v.attempt);
-        if (!b || b->stopping()) continue;
-        const Job* vj = p.cluster.job(v.task.job);
-        const bool saves = vj && vj->spec().checkpoint > Seconds(0);
-        p.cluster.stop(*h, *b, cluster::StopReason::preempted,
-                       saves ? vj->spec().save + Seconds(1) : Seconds(0), now);
+        needs |= p.cluster.preempt(*h, v.task, v.attempt, now);
         names += " " + v.task.text();
       }
       p.nominations.add(e.job, e.host, e.room, e.priority, e.victims);
@@ -310,7 +306,7 @@
     }
   });
   if (booked) domain_.store_hosts.notify();
-  if (!plan.evictions.empty()) domain_.stops.notify();
+  domain_.follow_up(needs);
 }
 
 // Refusals and the like are counted, not told one by one.
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -211,6 +211,25 @@
     return !(s.host && !cluster_.room_in_record(*s.host));
   }
 
+  // How many tasks of the job fit there, up to `most`. Work without accelerators leaves to each
+  // free accelerator what its next task will need besides; else machines rented for their
+  // accelerators fill up with work that could run anywhere, and is evicted for a guarantee soon
+  // after.
+  uint32_t count_on(const JobSpec& spec, const Slot& s, uint32_t most) const {
+    const Resources& free = s.room.free();
+    if (spec.need.gpus <= 0 && free.gpus > 0) {
+      const Resources rest = free - cluster_.beside_gpu() * free.gpus;
+      const auto limit = [&](double have, double need) {
+        if (need <= 0) return;
+        const double n = std::floor((have + Resources::kSlack) / need);
+        most = n <= 0 ? 0 : std::min(most, static_cast<uint32_t>(n));
+      };
+      limit(rest.cpus, spec.need.cpus);
+      limit(rest.memory_gb, spec.need.memory_gb);
+    }
+    return s.room.count(spec.need, spec.priority, most);
+  }
+
   // How many tasks of the job are in each zone, counting every booking (safety 4).
   std::map<std::string, uint32_t> zones_in_use(const Job& j) const {
     std::map<std::string, uint32_t> zones;
@@ -276,7 +295,7 @@
     if (zoned) zones = zones_in_use(j);
     for (const auto& [cost, s] : ranked(j, coming)) {
       if (placed == want) break;
-      uint32_t n = s->room.count(spec.need, spec.priority, want - placed);
+      uint32_t n = count_on(spec, *s, want - placed);
       if (n == 0) continue;
       if (zoned && !coming) n = std::min(n, zone_allows(spec, zones, s->zone));
       if (n == 0) continue;
@@ -350,7 +369,7 @@
       for (const auto& [cost, s] : order) {
         if (left == 0) break;
         if (!zone.empty() && s->zone != zone) continue;
-        uint32_t n = s->room.count(spec.need, spec.priority, left);
+        uint32_t n = count_on(spec, *s, left);
         if (spec.spread) n = std::min(n, zone_allows(spec, used, s->zone));
         if (n == 0) continue;
         used[s->zone] += n;
@@ -450,7 +469,7 @@
     std::map<std::string, uint32_t> zone_free;
     for (const Slot& s : slots_) {
       if (may_go(*w.job, s)) {
-        zone_free[s.zone] += s.room.count(spec.need, spec.priority, spec.tasks);
+        zone_free[s.zone] += count_on(spec, s, spec.tasks);
       }
     }
     const auto offers = deals(spec);
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -287,6 +287,18 @@
   EXPECT_EQ(p.evictions[0].job, "run-000002");
 }
 
+TEST_F(PreemptionTest, AVictimWhoseRunNeverWentOutIsUndoneAtOnce) {
+  // Found on a quiet day: such a booking counted as being stopped for ever, and its machine with
+  // it.
+  Host& h = *c.host("vm-1");
+  Job& low = add("run-000001", Priority::low, 8);
+  const Booking b = c.book(h, low, *low.take_pending(), c.next_attempt(), now);
+  const auto needs = c.preempt(h, b.task, b.attempt, now);
+  EXPECT_TRUE(needs.schedule);
+  EXPECT_TRUE(h.bookings.empty());
+  EXPECT_EQ(low.pending(), 1u);
+}
+
 TEST_F(PreemptionTest, AFailingJobDoesNotEvict) {
   run(add("run-000001", Priority::low, 8), *c.host("vm-1"));
   add("run-000002", Priority::high, 4).failing = true;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -11,7 +11,9 @@
 }
 
 // Everything a day may not do, as far as this world can see it.
-void expect_rules(const Site& s) { EXPECT_EQ(s.ran_twice, 0u); }
+void expect_rules(const Site& s) {
+  EXPECT_EQ(s.ran_twice, 0u);
+}
 
 TEST(Api, AnswersAsTheProtocolSays) {
   Site s;
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -76,7 +76,7 @@
   Task<http::Reply> serve(http::Call call);
 
   bool outage = false;
-  void end_outage();  // every lease has its full time again
+  void end_outage();                            // every lease has its full time again
   std::function<Fate(const http::Call&)> fate;  // asked for each call
   Nanos late_by = seconds(10);
   uint64_t requests = 0;
