--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr auto kRememberGone = std::chrono::minutes(5);
+constexpr Millis kRecent = std::chrono::minutes(4);
 constexpr size_t kMaxFailedOn = 32;
 constexpr size_t kMaxCommands = 400;
 constexpr Seconds kSaveSlack{4};
@@ -79,6 +80,17 @@
     seen(beside_gpu_.cpus, need.cpus / need.gpus);
     seen(beside_gpu_.memory_gb, need.memory_gb / need.gpus);
   }
+  for (const auto& o : platform_.objectives) {
+    if (o.kind != "wait" || o.job_class != record.spec.job_class) continue;
+    Expected& e = expected_[record.spec.job_class];
+    e.sample = record.spec;
+    e.within = o.within;
+    e.images[record.spec.image] = record.submitted;
+    e.arrivals.emplace_back(record.submitted, record.spec.tasks);
+    const WallTime old = record.submitted - kRecent;
+    std::erase_if(e.arrivals, [&](const auto& a) { return a.first < old; });
+    std::erase_if(e.images, [&](const auto& i) { return i.second < old; });
+  }
   jobs_[id] = std::make_unique<Job>(std::move(record.spec), record.submitted, stamp, team, now);
 }
 
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -102,6 +102,14 @@
   Booking* find(const TaskRef& task, uint64_t attempt);
 };
 
+// A class of jobs that is expected to start within a time: how it looked and came in of late.
+struct Expected {
+  JobSpec sample;
+  Seconds within{0};
+  std::vector<std::pair<WallTime, uint32_t>> arrivals;  // submitted, tasks; the recent ones
+  std::map<std::string, WallTime> images;               // last submission with each
+};
+
 struct TeamUsage {
   Resources used;
 };
@@ -155,6 +163,8 @@
   // What a task with one accelerator takes besides, as seen of late; empty before the first.
   const Resources& beside_gpu() const { return beside_gpu_; }
 
+  const std::map<std::string, Expected>& expected() const { return expected_; }
+
   // --- machines
   void set_catalog(std::vector<MachineType> types);
   const std::vector<MachineType>& catalog() const { return catalog_; }
@@ -223,6 +233,7 @@
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::vector<TeamUsage> usage_;
   Resources beside_gpu_;
+  std::map<std::string, Expected> expected_;  // by class
   std::map<std::string, Instant> gone_;  // machines removed of late: late reports are not believed
   std::vector<std::pair<std::string, uint64_t>> dead_records_;
   std::vector<std::string> stop_hosts_;  // hosts with stops that were not called out yet
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -277,12 +277,15 @@
         p.cluster.book(*h, *j, *index, p.cluster.next_attempt(), now);
         booked = true;
       }
+      spdlog::debug("placing {} tasks of {} on {} ({})", x.count, x.job, x.host, h->type);
     }
     for (const auto& g : plan.gangs) {
       Job* j = p.cluster.job(g.job);
       const uint64_t attempt = p.cluster.next_attempt();
       j->gang_go = false;
       for (const auto& [host, n] : g.on) {
+        spdlog::debug("placing {} tasks of gang {} on {} ({})", n, g.job, host,
+                      p.cluster.host(host)->type);
         for (uint32_t i = 0; i < n; ++i) {
           const auto index = j->take_pending();
           if (!index) break;
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -16,7 +16,10 @@
 
 constexpr uint32_t kMaxEvictionsPerRound = 6;
 constexpr Seconds kNoDeadline{600};
-constexpr double kBusyFetches = 0.5;  // a second fetch shares the rate with the first
+constexpr Millis kHeadroomMemory = std::chrono::seconds(200);
+constexpr Seconds kRoomTakes{75};        // a boot and a fetch, or work there coming to its end
+constexpr double kHeadroomSpread = 1.0;  // beyond the mean, in square roots of it
+constexpr double kBusyFetches = 0.5;     // a second fetch shares the rate with the first
 
 bool type_allowed(const JobSpec& s, std::string_view type) {
   return s.types.empty() || std::find(s.types.begin(), s.types.end(), type) != s.types.end();
@@ -40,6 +43,13 @@
 
 // Machines as the round sees them: those there, those coming, those asked for.
 struct Slot {
+  Slot(const Host* h, Room r, Offer o, bool is_coming)
+      : host(h),
+        room(std::move(r)),
+        type(std::move(o.type)),
+        zone(std::move(o.zone)),
+        spot(o.spot),
+        coming(is_coming) {}
   const Host* host = nullptr;  // null: asked for
   Room room;
   std::string type;
@@ -47,7 +57,8 @@
   bool spot = false;
   bool coming = false;
   std::vector<std::string> fetching;  // images that tasks there are waiting for
-  bool used_by_plan = false;
+  Resources kept;                     // headroom for a class that is expected to start at once
+  std::string kept_for;
 };
 
 class Round {
@@ -70,6 +81,7 @@
       usage_.push_back(cluster_.usage(static_cast<int>(t)).used);
     }
     given_up_.resize(usage_.size());
+    for (const auto& [name, e] : cluster_.expected()) keep_headroom(name, e);
     for (const Waiting& w : queue()) consider(w);
     return std::move(plan_);
   }
@@ -94,8 +106,7 @@
       const bool ready = usable(*h);
       const bool coming = !h->heard && !h->draining && !h->deleting && !h->listed_failed;
       if ((!ready && !coming) || h->size.cpus <= 0) continue;
-      Slot s{h.get(), Room(*h, nominations_, h->size), h->type, h->zone, h->spot, coming, {},
-             false};
+      Slot s(h.get(), Room(*h, nominations_, h->size), {h->type, h->zone, h->spot}, coming);
       for (const Booking& b : h->bookings) {
         if (b.state != TaskState::fetching) continue;
         if (const Job* j = cluster_.job(b.task.job)) s.fetching.push_back(j->spec().image);
@@ -116,14 +127,70 @@
     imagined->spot = offer.spot;
     imagined->size = t->size;
     imagined->fetch_gb_per_s = t->fetch_gb_per_s;
-    Slot s{nullptr,    Room(*imagined, nominations_, t->size),
-           offer.type, offer.zone,
-           offer.spot, true,
-           {},         false};
+    Slot s(nullptr, Room(*imagined, nominations_, t->size), offer, true);
     imagined_.push_back(std::move(imagined));
     slots_.push_back(std::move(s));
   }
 
+  // How many tasks of a class may come before new room could be made for them.
+  uint32_t headroom(const cluster::Expected& e) const {
+    double tasks = 0;
+    WallTime first = wall_;
+    for (const auto& [at, n] : e.arrivals) {
+      if (wall_ - at > kHeadroomMemory) continue;
+      tasks += n;
+      first = std::min(first, at);
+    }
+    if (tasks <= 0) return 0;
+    const double span = std::max(60.0, std::chrono::duration<double>(wall_ - first).count());
+    const double coming = tasks / span * kRoomTakes.count();
+    return static_cast<uint32_t>(std::ceil(coming + std::sqrt(coming) * kHeadroomSpread));
+  }
+
+  // Keeps room for a class with an aim for its start: on the machines chosen for it, other work of
+  // no higher priority leaves that room alone, and they are not returned while they are idle.
+  void keep_headroom(const std::string& name, const cluster::Expected& e) {
+    uint32_t left = headroom(e);
+    if (left == 0) return;
+    const JobSpec& spec = e.sample;
+    std::vector<std::pair<double, Slot*>> order;
+    for (Slot& s : slots_) {
+      if (!place_allowed(spec, s.type, s.zone, s.spot)) continue;
+      const MachineType* t = cluster_.type(s.type);
+      if (!t || !spec.need.fits_in(t->size)) continue;
+      // What is free now first; machines with accelerators last; those with its images before
+      // others.
+      double rank = 0;
+      if (s.coming) rank += 30;
+      if (!spec.need.fits_in(s.room.free())) rank += 20;
+      if (t->size.gpus > 0 && spec.need.gpus <= 0) rank += 50;
+      for (const auto& [image, at] : e.images) {
+        if (!(s.host && s.host->has_image(image))) rank += 10;
+      }
+      order.emplace_back(rank, &s);
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (auto& [rank, s] : order) {
+      if (left == 0) break;
+      if (!s->kept_for.empty()) continue;
+      // What it may hold once shorter work there is done: all but what its own kind holds.
+      Resources room = cluster_.type(s->type)->size;
+      if (s->host) {
+        for (const Booking& b : s->host->bookings) {
+          if (b.gang || b.priority > spec.priority) room -= b.need;
+        }
+      }
+      uint32_t n = 0;
+      while (n < left && (spec.need * (n + 1)).fits_in(room)) ++n;
+      if (n == 0) continue;
+      s->kept = spec.need * n;
+      s->kept_for = name;
+      left -= n;
+      if (s->host) plan_.wanted.push_back(s->host->id);
+    }
+  }
+
   double seconds_due(const Job& j) const {
     const double age = std::chrono::duration<double>(wall_ - j.submitted()).count();
     if (j.spec().deadline) return j.spec().deadline->count() - age;
@@ -217,14 +284,24 @@
   // after.
   uint32_t count_on(const JobSpec& spec, const Slot& s, uint32_t most) const {
     const Resources& free = s.room.free();
+    Resources rest = free;
+    bool limited = false;
     if (spec.need.gpus <= 0 && free.gpus > 0) {
-      const Resources rest = free - cluster_.beside_gpu() * free.gpus;
+      rest -= cluster_.beside_gpu() * free.gpus;
+      limited = true;
+    }
+    if (!s.kept_for.empty() && s.kept_for != spec.job_class) {
+      rest -= s.kept;
+      limited = true;
+    }
+    if (limited) {
       const auto limit = [&](double have, double need) {
         if (need <= 0) return;
         const double n = std::floor((have + Resources::kSlack) / need);
         most = n <= 0 ? 0 : std::min(most, static_cast<uint32_t>(n));
       };
       limit(rest.cpus, spec.need.cpus);
+      limit(rest.gpus, spec.need.gpus);
       limit(rest.memory_gb, spec.need.memory_gb);
     }
     return s.room.count(spec.need, spec.priority, most);
@@ -333,7 +410,6 @@
 
   void put(const Job& j, Slot& s, uint32_t n, std::vector<uint64_t> ends) {
     s.room.take(j.spec().need * n);
-    s.used_by_plan = true;
     usage_[static_cast<size_t>(j.team())] += j.spec().need * n;
     if (s.coming) return;  // kept in mind for this round only
     s.fetching.push_back(j.spec().image);
@@ -383,7 +459,6 @@
     GangPlacement g{spec.id, {}};
     for (auto& [s, n] : best->on) {
       s->room.take(spec.need * n);
-      s->used_by_plan = true;
       if (s->host && !s->coming) {
         s->fetching.push_back(spec.image);
         g.on.emplace_back(s->host->id, n);
