--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -18,6 +18,7 @@
 constexpr Seconds kNoDeadline{600};
 constexpr Millis kHeadroomMemory = std::chrono::seconds(200);
 constexpr Seconds kRoomTakes{75};        // a boot and a fetch, or work there coming to its end
+constexpr double kMeanShare = 0.6;       // of the mean, on machines with accelerators
 constexpr double kHeadroomSpread = 1.0;  // beyond the mean, in square roots of it
 constexpr double kBusyFetches = 0.5;     // a second fetch shares the rate with the first
 
@@ -133,7 +134,11 @@
   }
 
   // How many tasks of a class may come before new room could be made for them.
-  uint32_t headroom(const cluster::Expected& e) const {
+  struct Headroom {
+    uint32_t wanted = 0;  // for what may come
+    uint32_t mean = 0;    // for what comes on average
+  };
+  Headroom headroom(const cluster::Expected& e) const {
     double tasks = 0;
     WallTime first = wall_;
     for (const auto& [at, n] : e.arrivals) {
@@ -141,17 +146,20 @@
       tasks += n;
       first = std::min(first, at);
     }
-    if (tasks <= 0) return 0;
+    if (tasks <= 0) return {};
     const double span = std::max(60.0, std::chrono::duration<double>(wall_ - first).count());
     const double coming = tasks / span * kRoomTakes.count();
-    return static_cast<uint32_t>(std::ceil(coming + std::sqrt(coming) * kHeadroomSpread));
+    return {static_cast<uint32_t>(std::ceil(coming + std::sqrt(coming) * kHeadroomSpread)),
+            static_cast<uint32_t>(std::ceil(coming * kMeanShare))};
   }
 
   // Keeps room for a class with an aim for its start: on the machines chosen for it, other work of
   // no higher priority leaves that room alone, and they are not returned while they are idle.
   void keep_headroom(const std::string& name, const cluster::Expected& e) {
-    uint32_t left = headroom(e);
+    const Headroom h = headroom(e);
+    uint32_t left = h.wanted;
     if (left == 0) return;
+    uint32_t kept = 0;
     const JobSpec& spec = e.sample;
     std::vector<std::pair<double, Slot*>> order;
     for (Slot& s : slots_) {
@@ -174,6 +182,9 @@
     for (auto& [rank, s] : order) {
       if (left == 0) break;
       if (!s->kept_for.empty()) continue;
+      // Machines with accelerators are dear to hold free: no more of them than the mean asks for.
+      const bool borrowed = spec.need.gpus <= 0 && cluster_.type(s->type)->size.gpus > 0;
+      if (borrowed) left = std::min(left, h.mean > kept ? h.mean - kept : 0);
       // What it may hold once shorter work there is done: all but what its own kind holds.
       Resources room = cluster_.type(s->type)->size;
       if (s->host) {
@@ -187,6 +198,7 @@
       s->kept = spec.need * n;
       s->kept_for = name;
       left -= n;
+      kept += n;
       if (s->host) plan_.wanted.push_back(s->host->id);
     }
   }
