--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -17,6 +17,7 @@
 constexpr auto kCatalogEvery = std::chrono::seconds(45);
 constexpr auto kRepeat = Millis(1500);
 constexpr uint32_t kMaxRentals = 24;
+constexpr int kMostPause = 8;  // times the first
 constexpr Seconds kBootSlack{15};
 constexpr size_t kMaxDeletion = 50;
 
@@ -28,7 +29,7 @@
   counter_ = 0;
   rentals_.clear();
   in_flight_.clear();
-  refused_until_.clear();
+  refusals_.clear();
   discards_.clear();
   removing_ = false;
 }
@@ -36,14 +37,32 @@
 scheduler::Market Fleet::market(Instant now) {
   scheduler::Market m;
   for (const auto& r : rentals_) m.pending.emplace_back(r.offer, r.count);
-  std::erase_if(refused_until_, [&](const auto& r) { return r.second <= now; });
-  for (const auto& [offer, until] : refused_until_) m.refused.insert(offer);
+  for (const auto& [offer, r] : refusals_) {
+    if (r.until > now) m.refused.insert(offer);
+  }
   return m;
 }
 
+// Each refusal in a row doubles the pause: what the cloud does not have it will mostly not have in
+// a moment either, and while the cheapest offers were asked for over and over, dearer ones that
+// were there to be had were never reached. A machine of ours that goes makes room: then the pause
+// ends.
+void Fleet::refused(const scheduler::Offer& offer, Instant now) {
+  Refusal& r = refusals_[offer];
+  const Nanos first = to_nanos(domain_.op.refusal_pause);
+  r.pause = r.pause == Nanos(0) ? first : std::min(r.pause * 2, first * kMostPause);
+  r.until = now + r.pause;
+  std::erase_if(rentals_, [&](const Rental& x) {
+    return x.offer == offer && x.tries == 0 && !in_flight_.contains(x.request);
+  });
+}
+
 void Fleet::order(const std::vector<scheduler::Wish>& wishes) {
   for (const auto& w : wishes) {
     if (rentals_.size() >= kMaxRentals) return;  // the next round wishes again
+    const bool asked = std::any_of(rentals_.begin(), rentals_.end(),
+                                   [&](const Rental& x) { return x.offer == w.offer; });
+    if (asked) continue;  // one question at a time for each offer
     Rental r;
     r.request = "h-" + std::to_string(domain_.epoch) + "-" + std::to_string(++counter_);
     r.offer = w.offer;
@@ -73,8 +92,8 @@
         p.cluster.learn_host(id, r.offer.type, r.offer.zone, r.offer.spot, now);
       }
     });
-    if (result.machines.size() < r.count)
-      refused_until_[r.offer] = now + to_nanos(domain_.op.refusal_pause);
+    if (!result.machines.empty()) refusals_.erase(r.offer);
+    if (result.machines.size() < r.count) refused(r.offer, now);
     domain_.schedule.notify();
     co_return;
   }
@@ -82,7 +101,7 @@
     // Certainly not carried out; the scheduler may wish for something else.
     forget();
     if (result.no_capacity) {
-      refused_until_[r.offer] = now + to_nanos(domain_.op.refusal_pause);
+      refused(r.offer, now);
       spdlog::info("no capacity for {} {} in {}", r.offer.spot ? "spot" : "ordinary", r.offer.type,
                    r.offer.zone);
     }
@@ -107,7 +126,10 @@
     // By the time of this answer the machines and everything on them are gone.
     Needs needs;
     domain_.picture.with([&](Picture& p) {
-      for (const auto& id : machines) needs |= p.cluster.remove_host(id, domain_.loop.now());
+      for (const auto& id : machines) {
+        if (const Host* h = p.cluster.host(id)) refusals_.erase({h->type, h->zone, h->spot});
+        needs |= p.cluster.remove_host(id, domain_.loop.now());
+      }
     });
     domain_.follow_up(needs);
   } else {
--- a/src/dunlinknot/fleet/fleet.hpp
+++ b/src/dunlinknot/fleet/fleet.hpp
@@ -38,6 +38,7 @@
   Task<void> rent(uint64_t reign, Rental r);
   Task<void> remove(uint64_t reign, std::vector<std::string> machines);
   void take_list(const std::vector<ListedMachine>& machines, Instant now);
+  void refused(const scheduler::Offer& offer, Instant now);
   void discard(const std::string& id, std::string_view why);
 
   cluster::Domain& domain_;
@@ -45,7 +46,11 @@
   uint64_t counter_ = 0;
   std::vector<Rental> rentals_;      // ordered and not answered
   std::set<std::string> in_flight_;  // of them, the ones being asked for now
-  std::map<scheduler::Offer, Instant> refused_until_;
+  struct Refusal {
+    Instant until{};
+    Nanos pause{0};
+  };
+  std::map<scheduler::Offer, Refusal> refusals_;
   std::deque<std::string> discards_;  // machines to delete
   bool removing_ = false;
 };
