A team's limit is saved up for a gang that waits for it

Ruled out: room on the vatbox (it was free) and images. Headroom kept for a class is now open to it.

--- a/src/dunlinknot/cluster/ledger.cpp
+++ b/src/dunlinknot/cluster/ledger.cpp
@@ -50,6 +50,8 @@
     spdlog::error("the record {} cannot be read and is left alone", item.key);
     return;
   }
+  spdlog::debug("job {}: {} x {} of {}, estimate {:.0f} s", record->spec.id, record->spec.tasks,
+                record->spec.job_class, record->spec.team, record->spec.estimate.count());
   const Instant now = domain_.loop.now();
   domain_.picture.with(
       [&](Picture& p) { p.cluster.load_job(std::move(*record), item.stamp, now); });
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -237,7 +237,13 @@
     const uint32_t allowed = tasks_below_limit(cluster_.teams()[team], usage_[team], j.spec().need);
     plan_.waiting_tasks += j.pending();
     if (j.spec().gang) {
-      if (j.any_live() || allowed < j.spec().tasks) return;
+      if (j.any_live()) return;
+      if (allowed < j.spec().tasks) {
+        // Its team's limit is used up by work behind it in the queue: what that leaves is saved up
+        // for the gang, else smaller tasks take it piece by piece and the gang never starts.
+        usage_[team] += j.spec().need * j.spec().tasks;
+        return;
+      }
       if (!place_gang(j, false)) {
         if (place_gang(j, true)) return;  // room is coming
         rent_gang(w);
@@ -298,7 +304,7 @@
     const Resources& free = s.room.free();
     Resources rest = free;
     bool limited = false;
-    if (spec.need.gpus <= 0 && free.gpus > 0) {
+    if (spec.need.gpus <= 0 && free.gpus > 0 && s.kept_for != spec.job_class) {
       rest -= cluster_.beside_gpu() * free.gpus;
       limited = true;
     }
--- /dev/null
+++ b/tests/scheduler_test.cpp
@@ -0,0 +1,218 @@
+// Limits, zones, gangs, headroom: the plan as a function of the cluster.
+#include "dunlinknot/scheduler/scheduler.hpp"
+
+#include <gtest/gtest.h>
+
+#include "support.hpp"
+
+namespace dunlinknot::scheduler {
+namespace {
+
+using cluster::Booking;
+using cluster::Cluster;
+using cluster::Host;
+using cluster::Job;
+using cluster::Needs;
+using cluster::Phase;
+using std::chrono::seconds;
+using test::job;
+
+struct SchedulerTest : testing::Test {
+  SchedulerTest() {
+    MachineType box;
+    box.name = "box";
+    box.size = {8, 0, 32};
+    box.zones = {"a", "b"};
+    box.price = 1;
+    box.spot_price = 0.4;
+    box.boot = Seconds(20);
+    MachineType rig = box;
+    rig.name = "rig";
+    rig.size = {8, 2, 32};
+    rig.price = 5;
+    rig.spot_price = 2;
+    c.begin_reign(1, now);
+    c.set_catalog({box, rig});
+    none_to_rent();
+  }
+  void none_to_rent() {
+    for (const char* t : {"box", "rig"}) {
+      for (const char* z : {"a", "b"}) {
+        for (const bool spot : {false, true}) market.refused.insert({t, z, spot});
+      }
+    }
+  }
+  Host& machine(const std::string& id, const std::string& zone = "a",
+                const std::string& type = "box", bool spot = false) {
+    Beat b;
+    b.machine = id;
+    b.address = "10.0.0.1:9000";
+    b.type = type;
+    b.zone = zone;
+    b.spot = spot;
+    b.session = 1;
+    b.seq = ++seq;
+    b.token = 1;
+    Needs needs;
+    c.on_beat(b, now, false, needs);
+    return *c.host(id);
+  }
+  Job& add(JobSpec s) {
+    const std::string id = s.id;
+    c.load_job({std::move(s), wall}, 10, now);
+    return *c.job(id);
+  }
+  void run(Job& j, Host& h, uint64_t attempt = 0) {
+    Booking& b = c.book(h, j, *j.take_pending(), attempt ? attempt : c.next_attempt(), now);
+    b.phase = Phase::seen;
+    b.state = TaskState::running;
+  }
+  Plan plan() { return scheduler::plan(c, n, market, platform, op, wall + Millis(100), now); }
+  static std::map<std::string, uint32_t> by_host(const Plan& p) {
+    std::map<std::string, uint32_t> out;
+    for (const auto& x : p.placements) out[x.host] += x.count;
+    for (const auto& g : p.gangs) {
+      for (const auto& [h, k] : g.on) out[h] += k;
+    }
+    return out;
+  }
+
+  settings::Platform platform = test::Site::platform(0, 1);
+  settings::Operator op;
+  Cluster c{platform, op};
+  preemption::Nominations n;
+  Market market;
+  Instant now{seconds(100)};
+  WallTime wall{Millis(1'000'000)};
+  uint64_t seq = 1;
+};
+
+TEST_F(SchedulerTest, ATeamsLimitCountsEveryBookingEvenOfClosedJobs) {
+  Host& h = machine("vm-1");
+  JobSpec s = job("run-000001", 2);
+  s.team = "tiny";  // at most 4 cpus
+  Job& j = add(s);
+  run(j, h);
+  c.close_job("run-000001", true, now);  // cancelled, and not gone yet
+  s.id = "run-000002";
+  s.tasks = 5;
+  add(s);
+  uint32_t placed = 0;
+  for (const auto& [host, k] : by_host(plan())) placed += k;
+  EXPECT_EQ(placed, 1u);
+}
+
+TEST_F(SchedulerTest, RespectsTypesZonesAndKinds) {
+  machine("vm-1", "a");
+  machine("vm-2", "b");
+  machine("vm-3", "b", "box", true);
+  machine("vm-4", "b", "rig");
+  JobSpec s = job("run-000001", 50);
+  s.zone = "b";
+  s.types = {"box"};
+  add(s);
+  const auto on = by_host(plan());
+  EXPECT_EQ(on, (std::map<std::string, uint32_t>{{"vm-2", 4}}));
+}
+
+TEST_F(SchedulerTest, TogetherCountsOldBookingsAndApartHalvesRoundedUp) {
+  Host& a = machine("vm-1", "a");
+  machine("vm-2", "b");
+  JobSpec s = job("run-000001", 6);
+  s.one_zone = true;
+  Job& j = add(s);
+  run(j, a);
+  EXPECT_FALSE(by_host(plan()).contains("vm-2"));
+  c.close_job("run-000001", false, now);
+  JobSpec t = job("run-000002", 5);
+  t.need = {1, 0, 1};
+  t.spread = true;
+  add(t);
+  const auto on = by_host(plan());
+  EXPECT_EQ(on, (std::map<std::string, uint32_t>{{"vm-1", 3}, {"vm-2", 2}}));
+}
+
+TEST_F(SchedulerTest, AGangIsPlacedWholeInOneZoneOrNotAtAll) {
+  machine("vm-1", "a");
+  machine("vm-2", "b");
+  JobSpec g = job("run-000001", 2);
+  g.gang = true;
+  g.one_zone = true;
+  g.need = {6, 0, 4};
+  add(g);
+  EXPECT_TRUE(plan().gangs.empty()) << "one in each zone is not together";
+  machine("vm-3", "b");
+  const auto p = plan();
+  ASSERT_EQ(p.gangs.size(), 1u);
+  EXPECT_EQ(by_host(p), (std::map<std::string, uint32_t>{{"vm-2", 1}, {"vm-3", 1}}));
+}
+
+TEST_F(SchedulerTest, AGangWaitsUntilItsOldAttemptIsGone) {
+  Host& h = machine("vm-1");
+  machine("vm-2");
+  JobSpec g = job("run-000001", 2);
+  g.gang = true;
+  Job& j = add(g);
+  run(j, h, 77);
+  EXPECT_TRUE(plan().gangs.empty());
+}
+
+TEST_F(SchedulerTest, ATeamsLimitIsSavedUpForAWaitingGang) {
+  // Found on a quiet day: small tasks of the same team took each freed piece of the limit, and a
+  // gang waited for minutes on machines that stood free.
+  Host& h = machine("vm-1");
+  machine("vm-2");
+  JobSpec small = job("run-000001", 20);
+  small.team = "tiny";
+  small.need = {2, 0, 1};
+  Job& j = add(small);
+  run(j, h);
+  JobSpec g = job("run-000002", 1);
+  g.gang = true;
+  g.team = "tiny";
+  g.priority = Priority::high;
+  g.need = {4, 0, 1};
+  add(g);
+  EXPECT_TRUE(plan().placements.empty()) << "the rest of the limit is the gang's";
+}
+
+TEST_F(SchedulerTest, WorkWithoutAcceleratorsLeavesRoomBesideFreeOnes) {
+  Host& rig = machine("vm-1", "a", "rig");
+  JobSpec gpu = job("run-000009", 1);
+  gpu.need = {3, 1, 4};
+  Job& seen = add(gpu);  // what a task with one accelerator takes here
+  run(seen, rig);
+  add(job("run-000001", 10));  // 2 cpus each; 5 are free, 3 of them beside the free accelerator
+  EXPECT_EQ(by_host(plan()), (std::map<std::string, uint32_t>{{"vm-1", 1}}));
+}
+
+TEST_F(SchedulerTest, HeadroomIsKeptForAClassWithAnAimForItsStart) {
+  platform.objectives.push_back({"wait", "quick", Seconds(10), 0.9, 1});
+  machine("vm-1");
+  JobSpec q = job("run-000001", 1);
+  q.job_class = "quick";
+  q.gang = true;
+  q.need = {2, 0, 4};
+  add(q);
+  c.close_job("run-000001", false, now);  // one came, and is over
+  add(job("run-000002", 20));
+  EXPECT_EQ(by_host(plan()), (std::map<std::string, uint32_t>{{"vm-1", 1}})) << "6 of 8 are kept";
+  q.id = "run-000003";
+  add(q);
+  EXPECT_EQ(plan().gangs.size(), 1u);
+}
+
+TEST_F(SchedulerTest, RentsTheCheapestThatIsAllowedAndNotRefused) {
+  market.refused.clear();
+  add(job("run-000001", 4));
+  auto p = plan();
+  ASSERT_EQ(p.wishes.size(), 1u);
+  EXPECT_EQ(p.wishes[0].offer, (Offer{"box", "a", false})) << "its job takes no spot machines";
+  market.refused.insert({"box", "a", false});
+  EXPECT_EQ(plan().wishes[0].offer, (Offer{"box", "b", false}));
+  market.pending = {{{"box", "b", false}, 1}};
+  EXPECT_TRUE(plan().wishes.empty()) << "what is asked for counts as coming";
+}
+
+}  // namespace
+}  // namespace dunlinknot::scheduler
