--- a/src/dunlinknot/jobs/desk.cpp
+++ b/src/dunlinknot/jobs/desk.cpp
@@ -189,6 +189,7 @@
       co_return standing_of(*id, found, false);
     }
     if (found.known == Known::unclear || refusal == 0) co_return later();
+    spdlog::debug("{} answered {}: {}", *id, refusal, why);
     co_return refuse(refusal, why);
   }
 
