--- a/src/dunlinknot/wire/messages.cpp
+++ b/src/dunlinknot/wire/messages.cpp
@@ -119,8 +119,11 @@
   if (!name("crew", j.team)) return bad("crew");
   if (!name("bundle", j.image)) return bad("bundle");
   const auto shape = root["shape"].text();
-  if (!shape || (*shape != "batch" && *shape != "ensemble")) return bad("shape");
+  if (!shape || (*shape != "batch" && *shape != "ensemble" && *shape != "service")) {
+    return bad("shape");
+  }
   j.gang = *shape == "ensemble";
+  j.service = *shape == "service";
   const auto rank = value_of(kPriorities, root["rank"].text());
   if (!rank) return bad("rank");
   j.priority = *rank;
@@ -176,7 +179,7 @@
 void write_job(Writer& w, const JobSpec& j) {
   w.map(20);
   w.key("id").text(j.id).key("docket").text(j.job_class).key("crew").text(j.team);
-  w.key("shape").text(j.gang ? "ensemble" : "batch");
+  w.key("shape").text(j.gang ? "ensemble" : j.service ? "service" : "batch");
   w.key("rank").text(name_of(kPriorities, j.priority));
   w.key("pieces").count(j.tasks);
   w.key("cores").amount(j.need.cpus).key("gpus").amount(j.need.gpus);
--- a/src/dunlinknot/wire/messages.hpp
+++ b/src/dunlinknot/wire/messages.hpp
@@ -45,6 +45,7 @@
   std::string job_class;
   std::string team;
   bool gang = false;
+  bool service = false;  // its tasks run until they are cancelled; placed like an array's
   Priority priority = Priority::normal;
   uint32_t tasks = 0;
   Resources need;  // of each task
