--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -1,7 +1,6 @@
 #include "dunlinknot/scheduler/scheduler.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <limits>
 
@@ -21,7 +20,6 @@
 constexpr Seconds kRoomTakes{75};        // a boot and a fetch, or work there coming to its end
 constexpr double kMeanShare = 0.6;       // of the mean, on machines with accelerators
 constexpr double kHeadroomSpread = 1.0;  // beyond the mean, in square roots of it
-constexpr double kDueShare = 0.7;        // estimates are often too low: aim for an earlier end
 constexpr double kBusyFetches = 0.5;     // a second fetch shares the rate with the first
 
 bool type_allowed(const JobSpec& s, std::string_view type) {
@@ -534,28 +532,6 @@
   }
 
   // Rents for what is left of an array; returns how many tasks that provides for.
-  // How many such tasks the machine runs at a time, whatever it is busy with now.
-  double lanes_on(const JobSpec& spec, const Slot& s) const {
-    const MachineType* t = cluster_.type(s.type);
-    if (!t) return 0;
-    Resources size = t->size;
-    if (spec.need.gpus <= 0) size -= cluster_.beside_gpu() * size.gpus;
-    if (s.kept_for != spec.job_class) size -= s.kept;
-    if (s.host) {
-      for (const Booking& b : s.host->bookings) {
-        if (b.gang) size -= b.need;
-      }
-    }
-    double n = 1e6;
-    const auto dim = [&](double have, double need) {
-      if (need > 0) n = std::min(n, std::floor((have + Resources::kSlack) / need));
-    };
-    dim(size.cpus, spec.need.cpus);
-    dim(size.gpus, spec.need.gpus);
-    dim(size.memory_gb, spec.need.memory_gb);
-    return std::max(0.0, n);
-  }
-
   uint32_t rent_array(const Waiting& w, uint32_t open) {
     const Job& j = *w.job;
     const JobSpec& spec = j.spec();
@@ -563,28 +539,14 @@
     const auto offers = deals(spec);
     if (offers.empty() || fleet_full()) return 0;
     const Deal& d = offers.front();
+    // As many machines as finish what is left in time, not one for every task at once.
     const double fetch = d.type->fetch_gb_per_s > 0 ? spec.image_gb / d.type->fetch_gb_per_s : 0;
     const double run = std::max(1.0, spec.estimate.count());
-    const double work = open * run;
-    // What it may share with the jobs before it in the queue: machines of its kind, there or
-    // coming.
-    double& ahead = ahead_[spec.need.gpus > 0];
-    double lanes = 0;
-    for (const Slot& s : slots_) {
-      if (may_go(j, s)) lanes += lanes_on(spec, s);
-    }
-    const double time = w.due * kDueShare - fetch - run / 2;
-    // Machines that are there finish it in time, after what is before it: nothing is rented.
-    if (lanes > 0 && (ahead + work) / lanes + run / 2 <= time) {
-      ahead += work;
-      return open;
-    }
-    // Else as many as finish what is left in time, not one for every task at once.
-    const double span = std::max(run, time - d.type->boot.count());
-    const double missing = (ahead + work) / span - lanes;
-    ahead += work;
-    const auto machines = static_cast<uint32_t>(
-        std::clamp(std::ceil(std::min<double>(missing, open) / d.slots), 1.0, 8.0));
+    const double span = std::max(run, w.due - d.type->boot.count() - fetch);
+    const double turns = std::max(1.0, std::floor(span / run));
+    const double per_machine = d.slots * turns;
+    uint32_t machines = static_cast<uint32_t>(std::ceil(open / per_machine));
+    machines = std::clamp(machines, 1u, 8u);
     for (uint32_t i = 0; i < machines && !fleet_full(); ++i) {
       wish(d.offer, spec.id);
       Slot& s = slots_.back();
@@ -723,7 +685,6 @@
   std::vector<Resources> given_up_;  // by team: victims chosen in this round
   std::set<std::string> evicted_on_;
   size_t wished_ = 0;
-  std::array<double, 2> ahead_{};  // seconds of work that waits: without and with accelerators
   Plan plan_;
 };
 
