--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -92,6 +92,7 @@
     const Job* job = nullptr;
     bool guaranteed = false;
     double due = 0;  // seconds from now
+    bool late = false;
   };
 
   // --- preparation
@@ -203,27 +204,50 @@
     }
   }
 
-  double seconds_due(const Job& j) const {
+  struct Due {
+    double in = 0;      // seconds from now
+    bool late = false;  // no aim of its class can be met any more
+  };
+  // When the job is due: by the nearest of its class's aims that it can still meet.
+  Due due(const Job& j) const {
+    const JobSpec& spec = j.spec();
     const double age = std::chrono::duration<double>(wall_ - j.submitted()).count();
-    if (j.spec().deadline) return j.spec().deadline->count() - age;
+    if (!spec.deadline) {
+      for (const auto& o : platform_.objectives) {
+        if (o.kind == "wait" && o.job_class == spec.job_class)
+          return {o.within.count() - age, false};
+      }
+      return {kNoDeadline.count() - age, false};
+    }
+    const double run = spec.estimate.count() * (j.done_count() > 0 ? 0.5 : 1.0);
+    std::vector<double> times{1.0};
     for (const auto& o : platform_.objectives) {
-      if (o.kind == "wait" && o.job_class == j.spec().job_class) return o.within.count() - age;
+      if (o.kind == "deadline" && o.job_class == spec.job_class) times.push_back(o.times);
+    }
+    std::sort(times.begin(), times.end());
+    for (const double t : times) {
+      const double left = spec.deadline->count() * t - age;
+      if (left >= run) return {left, false};
     }
-    return kNoDeadline.count() - age;
+    return {spec.deadline->count() - age, true};
   }
 
   std::vector<Waiting> queue() const {
     std::vector<Waiting> q;
     for (const auto& [id, j] : cluster_.jobs()) {
       if (j->pending() == 0 || now_ < j->not_before || j->team() < 0) continue;
-      q.push_back({j.get(), guaranteed_.contains(id), seconds_due(*j)});
+      const Due d = due(*j);
+      q.push_back({j.get(), guaranteed_.contains(id), d.in, d.late});
     }
-    // Priority first, then what a guarantee covers, then what is due first.
+    // Priority first, then what a guarantee covers, then what is due first. What is late whatever
+    // happens waits behind what can still be in time: else, when more comes than can be done, every
+    // job is brought to its end a little too late.
     std::sort(q.begin(), q.end(), [](const Waiting& a, const Waiting& b) {
       if (a.job->spec().priority != b.job->spec().priority) {
         return a.job->spec().priority > b.job->spec().priority;
       }
       if (a.guaranteed != b.guaranteed) return a.guaranteed;
+      if (a.late != b.late) return b.late;
       if (a.due != b.due) return a.due < b.due;
       return a.job->spec().id < b.job->spec().id;
     });
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -202,6 +202,26 @@
   EXPECT_EQ(plan().gangs.size(), 1u);
 }
 
+TEST_F(SchedulerTest, WhatIsLateAnywayWaitsBehindWhatCanBeInTime) {
+  // Found on a day with more work than machines: by due time alone, every job ended too late.
+  machine("vm-1");
+  JobSpec s = job("run-000001", 4);
+  s.estimate = Seconds(30);
+  s.deadline = Seconds(20);  // cannot be met any more
+  add(s);
+  s.id = "run-000002";
+  s.deadline = Seconds(90);
+  add(s);
+  auto p = plan();
+  ASSERT_EQ(p.placements.size(), 1u);
+  EXPECT_EQ(p.placements[0].job, "run-000002");
+  // A second, later aim of the class makes it worth hurrying again.
+  platform.objectives.push_back({"deadline", s.job_class, Seconds(0), 0.9, 2.0});
+  p = plan();
+  ASSERT_EQ(p.placements.size(), 1u);
+  EXPECT_EQ(p.placements[0].job, "run-000001");
+}
+
 TEST_F(SchedulerTest, RentsTheCheapestThatIsAllowedAndNotRefused) {
   market.refused.clear();
   add(job("run-000001", 4));
