--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -76,6 +76,7 @@
   // What the cloud told.
   Instant known_since{};
   bool listed = false;
+  bool listed_running = false;
   bool listed_failed = false;
   bool deleting = false;
 
@@ -149,6 +150,7 @@
   void load_host(const std::string& id, const wire::HostRecord& record, uint64_t stamp,
                  Instant now);
   uint64_t epoch() const { return epoch_; }
+  Instant reign_since() const { return reign_since_; }
   uint64_t next_attempt();
 
   // --- jobs
--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -199,6 +199,7 @@
         spdlog::info("machine {} ({} in {}) found in the list", m.id, m.type, m.zone);
       }
       h.listed = true;
+      h.listed_running |= m.state == MachineState::running;
       if (h.address.empty()) h.address = m.address;
       if (m.state == MachineState::failed && !h.listed_failed) {
         h.listed_failed = true;
@@ -235,7 +236,15 @@
         // What is booked there by a former leader ends with the deletion (the fast fence).
         const MachineType* t = p.cluster.type(h->type);
         if (!t) continue;
-        if (now - h->known_since > to_nanos(t->boot * op.boot_patience + kBootSlack)) {
+        // A new leader has heard nobody yet: a machine that is up, or was while somebody else led,
+        // has the time a silent one has before it is given up.
+        const Instant heard_by =
+            p.cluster.reign_since() + to_nanos(domain_.platform.lease + op.lost_return);
+        const bool was_up = h->listed_running || !h->bookings.empty();
+        const Instant up_by = h->known_since + to_nanos(t->boot * op.boot_patience + kBootSlack);
+        if (now > heard_by && (was_up || now > up_by)) {
+          out.emplace_back(id, was_up ? "its worker stays silent" : "it never came up");
+        } else if (!was_up && now > up_by && h->known_since > p.cluster.reign_since()) {
           out.emplace_back(id, "it never came up");
         }
         continue;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -246,6 +246,27 @@
   expect_rules(s);
 }
 
+TEST(TakeOver, MachinesThatHaveNotReportedYetAreNotTakenForOnesThatNeverCameUp) {
+  // Found on two recorded days: a new leader judged machines by their age in the list before their
+  // workers had reported to it, and deleted some with everything that ran on them.
+  Site s(3);
+  s.run_for(seconds(2));
+  s.submit(job("run-000001", 2));
+  s.run_for(seconds(4));
+  for (auto& [id, w] : s.workers) w->run_time = [](const TaskRef&) { return seconds(150); };
+  s.run_for(seconds(100));  // old enough to be given up if they had never reported
+  ASSERT_EQ(s.starts, 2u);
+  const size_t deleted = s.cloud.deletions.size();
+  for (auto& [id, w] : s.workers) w->cut = true;
+  s.restart(*s.leader());
+  s.run_for(seconds(8));
+  EXPECT_EQ(s.cloud.deletions.size(), deleted);
+  for (auto& [id, w] : s.workers) w->cut = false;
+  s.run_for(seconds(80));
+  EXPECT_EQ(s.starts, 2u);
+  EXPECT_EQ(s.standing("run-000001", *s.leader()), "done");
+}
+
 TEST(TakeOver, AllControllersKilledAtOnce) {
   Site s(3);
   s.run_for(seconds(2));
