A gang on a recalled machine saves as a whole

All its tasks get their stop in the same moment, with room for gang_peer_s; the first that has saved does not cut the rest short. Test in cluster_test.

--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -612,6 +612,16 @@
   return needs;
 }
 
+void Cluster::stop_gang(const std::string& id, uint64_t attempt, Seconds grace, Instant now) {
+  for (auto& [name, h] : hosts_) {
+    for (Booking& b : h->bookings) {
+      if (b.task.job == id && b.attempt == attempt && !b.stopping()) {
+        stop(*h, b, StopReason::recall, grace, now);
+      }
+    }
+  }
+}
+
 Needs Cluster::tick(Instant now) {
   Needs needs;
   for (auto& [id, h] : hosts_) {
@@ -628,8 +638,13 @@
       if (!j || b.stopping() || j->spec().checkpoint <= Seconds(0)) continue;
       const Seconds left = to_seconds(*h->recall_at - now);
       if (left > j->spec().save + kSaveSlack) continue;
-      // Saved before the machine goes. A gang saves as a whole or not at all.
-      if (!b.gang) stop(*h, b, StopReason::recall, j->spec().save + Seconds(1), now);
+      // Saved before the machine goes. A gang saves as a whole or not at all: all its tasks are
+      // told in the same moment, well inside gang_peer_s of one another.
+      if (b.gang) {
+        stop_gang(b.task.job, b.attempt, j->spec().save + platform_.gang_peer, now);
+      } else {
+        stop(*h, b, StopReason::recall, j->spec().save + Seconds(1), now);
+      }
     }
   }
   if (!stop_hosts_.empty()) needs.stops = true;
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -215,6 +215,7 @@
   Needs end_booking(Host& h, size_t i, Instant now, bool gang_goes_on = false);
   Needs on_exit(Host& h, const TaskReport& r, Instant now);
   void break_gang(const std::string& job, uint64_t attempt, Instant now, Needs& needs);
+  void stop_gang(const std::string& job, uint64_t attempt, Seconds grace, Instant now);
   void on_error(Host& h, Job* job, Instant now);
   bool fresh(Host& h, const Beat& b) const;
   void take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs);
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -346,6 +346,37 @@
   EXPECT_GE(calls[0].commands[0].grace, s.save);
 }
 
+TEST_F(ClusterTest, AGangOnARecalledMachineIsToldToSaveAsAWhole) {
+  JobSpec g = job("run-000001", 2);
+  g.gang = true;
+  g.checkpoint = Seconds(10);
+  g.save = Seconds(3);
+  Job& j = add(g);
+  const uint64_t attempt = c.next_attempt();
+  for (const char* vm : {"vm-1", "vm-2"}) {
+    send(beat(vm));
+    Booking& b = c.book(*c.host(vm), j, *j.take_pending(), attempt, now);
+    b.phase = Phase::seen;
+    b.state = TaskState::running;
+  }
+  Beat r = beat("vm-1");
+  r.tasks = {on(c.host("vm-1")->bookings[0])};
+  r.notice = Seconds(6);
+  send(r);
+  c.tick(now);
+  const auto calls = c.take_stop_calls();
+  ASSERT_EQ(calls.size(), 2u) << "both in the same moment";
+  for (const auto& call : calls) EXPECT_GE(call.commands[0].grace, g.save);
+  // The first that has saved and gone does not have the rest cut short.
+  r.tasks[0].state = TaskState::exited;
+  r.tasks[0].cause = ExitCause::stopped;
+  r.tasks[0].saved = true;
+  r.seq = ++seq;
+  send(r);
+  EXPECT_TRUE(c.take_stop_calls().empty());
+  EXPECT_TRUE(j.any_live());
+}
+
 TEST_F(ClusterTest, AnOverlongRecordIsNeverPlanned) {
   JobSpec s = job("run-000001", 10'000);
   s.need = {0.001, 0, 0.001};
