--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -47,6 +47,7 @@
   reign_since_ = now;
   jobs_.clear();
   hosts_.clear();
+  holders_.clear();
   gone_.clear();
   stop_hosts_.clear();
   dead_records_.clear();
@@ -119,6 +120,7 @@
       b.team = team_index(g.team);
       b.need = g.need;
       b.gang = g.gang;
+      if (j) b.image = j->spec().image;
       b.priority = j ? j->spec().priority : Priority::low;
       b.phase = Phase::inherited;
       b.placed_at = now;
@@ -150,7 +152,7 @@
   // Safety 3: nothing of a cancelled job starts, and all of it is stopped everywhere. Bookings
   // whose `run` never went out under us are simply undone; the others stay booked until they are
   // gone.
-  for (auto& [name, h] : hosts_) {
+  for (Host* h : std::vector(holders(id))) {
     for (size_t i = h->bookings.size(); i-- > 0;) {
       Booking& b = h->bookings[i];
       if (b.task.job != id) continue;
@@ -225,9 +227,17 @@
     j->booked(b.task.index);
     if (b.gang) j->gang_attempt = std::max(j->gang_attempt, b.attempt);
   }
+  auto& holders = holders_[b.task.job];
+  if (std::find(holders.begin(), holders.end(), &h) == holders.end()) holders.push_back(&h);
   h.bookings.push_back(std::move(b));
 }
 
+const std::vector<Host*>& Cluster::holders(const std::string& job) const {
+  static const std::vector<Host*> none;
+  const auto it = holders_.find(job);
+  return it == holders_.end() ? none : it->second;
+}
+
 Needs Cluster::end_booking(Host& h, size_t i, Instant now, bool gang_goes_on) {
   Needs needs;
   const Booking b = std::move(h.bookings[i]);
@@ -237,6 +247,11 @@
     h.used = Resources{};
     h.idle_since = now;
   }
+  if (!find_where(h.bookings, [&](const Booking& o) { return o.task.job == b.task.job; })) {
+    const auto holders = holders_.find(b.task.job);
+    std::erase(holders->second, &h);
+    if (holders->second.empty()) holders_.erase(holders);
+  }
   if (b.team >= 0) usage_[static_cast<size_t>(b.team)].used -= b.need;
   h.trailing = true;
   needs.schedule = true;
@@ -254,7 +269,7 @@
 // A gang that lost a task will not go on: the rest is stopped at once rather than left to find out,
 // so that the next attempt need not wait for it. A gang told to save is left to its saving.
 void Cluster::break_gang(const std::string& id, uint64_t attempt, Instant now, Needs& needs) {
-  for (auto& [name, h] : hosts_) {
+  for (Host* h : std::vector(holders(id))) {
     for (size_t i = h->bookings.size(); i-- > 0;) {
       if (i >= h->bookings.size()) continue;
       Booking& b = h->bookings[i];
@@ -276,6 +291,7 @@
   b.team = j.team();
   b.team_name = j.spec().team;
   b.need = j.spec().need;
+  b.image = j.spec().image;
   b.gang = j.spec().gang;
   b.priority = j.spec().priority;
   b.placed_at = now;
@@ -324,7 +340,7 @@
 
 Needs Cluster::drop_unsent(const std::string& id, Instant now) {
   Needs needs;
-  for (auto& [name, h] : hosts_) {
+  for (Host* h : std::vector(holders(id))) {
     for (size_t i = h->bookings.size(); i-- > 0;) {
       if (i >= h->bookings.size()) continue;
       const Booking& b = h->bookings[i];
@@ -476,6 +492,7 @@
         stray.team = j->team();
         stray.team_name = j->spec().team;
         stray.need = j->spec().need;
+        stray.image = j->spec().image;
         stray.gang = j->spec().gang;
         stray.priority = j->spec().priority;
       }
@@ -613,7 +630,7 @@
 }
 
 void Cluster::stop_gang(const std::string& id, uint64_t attempt, Seconds grace, Instant now) {
-  for (auto& [name, h] : hosts_) {
+  for (Host* h : holders(id)) {
     for (Booking& b : h->bookings) {
       if (b.task.job == id && b.attempt == attempt && !b.stopping()) {
         stop(*h, b, StopReason::recall, grace, now);
@@ -669,15 +686,15 @@
 }
 
 // The size of the record as the state service counts it, generously: see write_host.
-bool Cluster::room_in_record(const Host& h) const {
-  constexpr size_t kFixed = 512, kPerJob = 320, kPerTask = 32;
-  size_t groups = 1;
+size_t Cluster::record_size(const Host& h) const {
+  constexpr size_t kFixed = 512;
+  size_t groups = 0;
   const std::string* last = nullptr;
   for (const Booking& b : h.bookings) {
     if (!last || *last != b.task.job) ++groups;
     last = &b.task.job;
   }
-  return kFixed + groups * kPerJob + (h.bookings.size() + 1) * kPerTask <= record_limit_;
+  return kFixed + groups * kRecordPerJob + h.bookings.size() * kRecordPerTask;
 }
 
 void Cluster::host_stored(Host& h, const wire::HostRecord& written, uint64_t stamp, Needs& needs) {
@@ -708,7 +725,7 @@
     Job* j = job(b.task.job);
     if (!j || j->gang_attempt != b.attempt) continue;
     uint32_t standing = 0;
-    for (const auto& [id, other] : hosts_) {
+    for (const Host* other : holders(b.task.job)) {
       for (const Booking& k : other->bookings) {
         if (k.task.job == b.task.job && k.attempt == b.attempt && k.phase != Phase::planned) {
           ++standing;
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -34,6 +34,7 @@
   int team = -1;
   std::string team_name;
   Resources need;
+  std::string image;
   bool gang = false;
   Priority priority = Priority::low;
   Phase phase = Phase::planned;
@@ -200,7 +201,16 @@
   // --- the record of a machine in the state service
   wire::HostRecord record_of(const Host& h) const;
   void host_stored(Host& h, const wire::HostRecord& as_written, uint64_t stamp, Needs& needs);
-  bool room_in_record(const Host& h) const;
+  bool room_in_record(const Host& h) const {
+    return record_size(h) + kRecordPerJob + kRecordPerTask <= record_limit_;
+  }
+  size_t record_size(const Host& h) const;  // of its record, generously
+  size_t record_limit() const { return record_limit_; }
+  // What one more booking adds to a record at most.
+  static constexpr size_t kRecordPerJob = 320, kRecordPerTask = 32;
+
+  // The machines that hold bookings of a job, open or closed, in no particular order.
+  const std::vector<Host*>& holders(const std::string& job) const;
 
   // Records of machines that are gone, to be deleted: key and stamp.
   std::vector<std::pair<std::string, uint64_t>> take_dead_records() {
@@ -234,6 +244,8 @@
   std::vector<MachineType> catalog_;
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, std::unique_ptr<Host>> hosts_;
+  // By job: the machines with bookings of it, so that nothing need walk all machines to find them.
+  std::unordered_map<std::string, std::vector<Host*>> holders_;
   std::vector<TeamUsage> usage_;
   Resources beside_gpu_;
   std::map<std::string, Expected> expected_;  // by class
--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -225,7 +225,8 @@
   domain_.rentals.notify();
 }
 
-void Fleet::sweep(const std::vector<std::string>& wanted, size_t waiting_tasks, Instant now) {
+void Fleet::sweep(std::vector<std::string> wanted, size_t waiting_tasks, Instant now) {
+  std::sort(wanted.begin(), wanted.end());
   std::vector<std::pair<std::string, std::string>> out;
   const auto& op = domain_.op;
   domain_.picture.with([&](Picture& p) {
@@ -261,7 +262,7 @@
       } else if (h->recall_at) {
         out.emplace_back(id, "it is recalled and empty");
       } else if (now - h->idle_since > to_nanos(op.idle_return) &&
-                 std::find(wanted.begin(), wanted.end(), id) == wanted.end()) {
+                 !std::binary_search(wanted.begin(), wanted.end(), id)) {
         out.emplace_back(id, waiting_tasks > 0 ? "idle, and nothing that waits fits" : "idle");
       }
     }
--- a/src/dunlinknot/fleet/fleet.hpp
+++ b/src/dunlinknot/fleet/fleet.hpp
@@ -25,7 +25,7 @@
   scheduler::Market market(Instant now);
   void order(const std::vector<scheduler::Wish>& wishes);
   // Looks for machines to return; called after each round.
-  void sweep(const std::vector<std::string>& wanted, size_t waiting_tasks, Instant now);
+  void sweep(std::vector<std::string> wanted, size_t waiting_tasks, Instant now);
 
  private:
   struct Rental {
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -14,6 +14,7 @@
 using http::Response;
 
 constexpr auto kTick = Millis(500);
+constexpr int kRoundRest = 3;  // times what the last round took
 constexpr auto kNoBeats = std::chrono::seconds(5);
 constexpr auto kStateSilent = Millis(2500);
 constexpr double kBudgetShare = 0.6;  // of the state service's limits, for one node
@@ -246,7 +247,10 @@
       }
     }
     if (elector_.may_start()) one_round(now);
-    co_await loop_.sleep(to_nanos(op_.round_pause));
+    // The more a round takes, the longer the pause: rounds leave most of the processor to the
+    // workers' reports and the users, however large the cluster.
+    const Nanos took = loop_.now() - now;
+    co_await loop_.sleep(std::clamp<Nanos>(took * kRoundRest, to_nanos(op_.round_pause), kTick * 3));
   }
 }
 
--- a/src/dunlinknot/preemption/fit.cpp
+++ b/src/dunlinknot/preemption/fit.cpp
@@ -21,6 +21,19 @@
 
 }  // namespace
 
+uint32_t tasks_in(const Resources& room, const Resources& need, uint32_t most) {
+  const auto dim = [&](double have, double each) {
+    if (have + Resources::kSlack < each) most = 0;
+    if (most == 0 || each <= 0) return;
+    const double n = std::floor((have + Resources::kSlack) / each);
+    if (n < most) most = static_cast<uint32_t>(n);
+  };
+  dim(room.cpus, need.cpus);
+  dim(room.gpus, need.gpus);
+  dim(room.memory_gb, need.memory_gb);
+  return most;
+}
+
 Room::Room(const cluster::Host& host, const Nominations& nominations, const Resources& size)
     : host_(&host), free_(size - host.used) {
   if (const auto* list = nominations.victims_on(host.id)) {
@@ -28,8 +41,9 @@
       if (on_list(list, b)) victims_ += b.need;
     }
   }
-  for (const auto& [id, n] : nominations.all()) {
-    if (n.host == host.id) holds_.push_back({id, n.room, n.priority});
+  for (const uint64_t id : nominations.on(host.id)) {
+    const Nomination& n = nominations.all().at(id);
+    holds_.push_back({id, n.room, n.priority});
   }
 }
 
@@ -51,13 +65,15 @@
 }
 
 uint32_t Room::count(const Resources& need, Priority priority, uint32_t most) const {
-  Room trial = *this;
-  uint32_t n = 0;
-  while (n < most && trial.fits(need, priority)) {
-    trial.take(need);
-    ++n;
+  most = tasks_in(free_, need, most);  // pass 2
+  Resources held;
+  bool any = false;
+  for (const Hold& h : holds_) {
+    if (h.priority < priority) continue;
+    held += h.room;
+    any = true;
   }
-  return n;
+  return any ? tasks_in(free_ + victims_ - held, need, most) : most;
 }
 
 void Room::end_hold(uint64_t id) {
@@ -92,7 +108,10 @@
     const bool listed = on_list(list, b);
     if (b.stopping() && !listed) continue;  // leaves for another reason, on its own time
     bool allowed = b.priority < who.priority || listed;
-    if (!allowed && who.within_guarantee && b.team >= 0 && b.team != who.team) {
+    // A team that is beyond its guarantee gives back what is beyond it: jobs within it stay. Else
+    // two teams, both with work within their guarantees, evict one another for ever.
+    if (!allowed && who.within_guarantee && b.team >= 0 && b.team != who.team &&
+        !(who.guaranteed && who.guaranteed->contains(b.task.job))) {
       Resources& over = beyond[static_cast<size_t>(b.team)];
       if (exceeds(over, b.need)) {
         over -= b.need;
--- a/src/dunlinknot/preemption/fit.hpp
+++ b/src/dunlinknot/preemption/fit.hpp
@@ -2,10 +2,15 @@
 // capacity for the preemptor": with the holds of equal or higher priority (booked victims
 // subtracted, holds added), and again without them.
 #pragma once
+#include <set>
+
 #include "dunlinknot/preemption/nominations.hpp"
 
 namespace dunlinknot::preemption {
 
+// How many tasks of this size fit into the room, up to `most`.
+uint32_t tasks_in(const Resources& room, const Resources& need, uint32_t most);
+
 // The room on one machine as a round goes on: bookings made in the round are taken off `free`.
 class Room {
  public:
@@ -52,6 +57,8 @@
   bool within_guarantee = false;
   // Per team, what it uses beyond its guarantee (only read when within_guarantee).
   const std::vector<Resources>* beyond = nullptr;
+  // The jobs within their teams' guarantees: never given up for another team's.
+  const std::set<std::string>* guaranteed = nullptr;
 };
 
 // Removes all that may be removed, then takes back as many as still leave room, the dearest first
--- a/src/dunlinknot/preemption/nominations.cpp
+++ b/src/dunlinknot/preemption/nominations.cpp
@@ -32,6 +32,8 @@
   }
   if (list.empty()) victims_.erase(host);
   const uint64_t id = next_++;
+  by_host_[host].push_back(id);
+  by_job_[job].push_back(id);
   nominations_[id] = Nomination{id, std::move(job), std::move(host), room, priority};
   return id;
 }
@@ -41,6 +43,13 @@
   if (it == nominations_.end()) return;
   spdlog::debug("nomination {} of {} on {} ends: {}", id, it->second.job, it->second.host,
                 text(why));
+  const auto drop = [id](auto& index, const std::string& key) {
+    const auto at = index.find(key);
+    std::erase(at->second, id);
+    if (at->second.empty()) index.erase(at);
+  };
+  drop(by_host_, it->second.host);
+  drop(by_job_, it->second.job);
   nominations_.erase(it);
 }
 
@@ -55,11 +64,7 @@
   for (const auto& v : victims) any |= std::erase(it->second, v) > 0;
   if (it->second.empty()) victims_.erase(it);
   if (!any) return;
-  std::vector<uint64_t> ids;
-  for (const auto& [id, n] : nominations_) {
-    if (n.host == host) ids.push_back(id);
-  }
-  for (const uint64_t id : ids) end(id, End::stop_failed);
+  for (const uint64_t id : std::vector(on(host))) end(id, End::stop_failed);
 }
 
 void Nominations::settle(const cluster::Cluster& cluster) {
@@ -76,15 +81,20 @@
 
 void Nominations::clear() {
   nominations_.clear();
+  by_host_.clear();
+  by_job_.clear();
   victims_.clear();
 }
 
 std::vector<uint64_t> Nominations::of(const std::string& job) const {
-  std::vector<uint64_t> ids;
-  for (const auto& [id, n] : nominations_) {
-    if (n.job == job) ids.push_back(id);
-  }
-  return ids;
+  const auto it = by_job_.find(job);
+  return it == by_job_.end() ? std::vector<uint64_t>{} : it->second;
+}
+
+const std::vector<uint64_t>& Nominations::on(const std::string& host) const {
+  static const std::vector<uint64_t> none;
+  const auto it = by_host_.find(host);
+  return it == by_host_.end() ? none : it->second;
 }
 
 const std::vector<Victim>* Nominations::victims_on(const std::string& host) const {
--- a/src/dunlinknot/preemption/nominations.hpp
+++ b/src/dunlinknot/preemption/nominations.hpp
@@ -44,12 +44,15 @@
 
   const std::map<uint64_t, Nomination>& all() const { return nominations_; }
   std::vector<uint64_t> of(const std::string& job) const;
+  const std::vector<uint64_t>& on(const std::string& host) const;
   const std::vector<Victim>* victims_on(const std::string& host) const;
   bool settling(const std::string& host) const { return victims_on(host) != nullptr; }
 
  private:
   uint64_t next_ = 1;
   std::map<uint64_t, Nomination> nominations_;
+  std::map<std::string, std::vector<uint64_t>> by_host_;
+  std::map<std::string, std::vector<uint64_t>> by_job_;
   std::map<std::string, std::vector<Victim>> victims_;
 };
 
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <limits>
+#include <unordered_map>
 
 namespace dunlinknot::scheduler {
 
@@ -26,8 +28,8 @@
   return s.types.empty() || std::find(s.types.begin(), s.types.end(), type) != s.types.end();
 }
 
-bool place_allowed(const JobSpec& s, std::string_view type, std::string_view zone, bool spot) {
-  return type_allowed(s, type) && (!s.zone || *s.zone == zone) && (!spot || s.spot);
+bool place_allowed(const JobSpec& s, const Offer& o) {
+  return type_allowed(s, o.type) && (!s.zone || *s.zone == o.zone) && (!o.spot || s.spot);
 }
 
 // The room that a team has left below its limit, in tasks of this size.
@@ -42,24 +44,31 @@
   return n <= 0 ? 0 : static_cast<uint32_t>(n);
 }
 
+struct Slot;
+
+// Machines of one kind in one place. What a job allows is decided once for a kind, not for each of
+// its machines.
+struct Kind {
+  Offer offer;
+  const MachineType* type = nullptr;
+  std::vector<Slot*> ready;
+  std::vector<Slot*> coming;  // not up yet, or only asked for
+  std::vector<Slot*>& slots(bool not_yet) { return not_yet ? coming : ready; }
+};
+
 // Machines as the round sees them: those there, those coming, those asked for.
 struct Slot {
-  Slot(const Host* h, Room r, Offer o, bool is_coming)
-      : host(h),
-        room(std::move(r)),
-        type(std::move(o.type)),
-        zone(std::move(o.zone)),
-        spot(o.spot),
-        coming(is_coming) {}
+  Slot(const Host* h, Room r, const Kind& k, bool is_coming)
+      : host(h), room(std::move(r)), kind(&k), coming(is_coming) {}
   const Host* host = nullptr;  // null: asked for
   Room room;
-  std::string type;
-  std::string zone;
-  bool spot = false;
+  const Kind* kind;
   bool coming = false;
-  std::vector<std::string> fetching;  // images that tasks there are waiting for
-  Resources kept;                     // headroom for a class that is expected to start at once
-  std::string kept_for;
+  std::vector<std::string_view> fetching;  // images that tasks there are waiting for
+  Resources kept;  // headroom for a class that is expected to start at once
+  std::string_view kept_for;
+  std::optional<size_t> record_room;  // bytes left in its record
+  const std::string& zone() const { return kind->offer.zone; }
 };
 
 class Round {
@@ -75,6 +84,8 @@
         wall_(wall),
         now_(now),
         guaranteed_(within_guarantee(cluster)) {}
+  Round(const Round&) = delete;
+  Round& operator=(const Round&) = delete;
 
   Plan run() {
     collect();
@@ -108,30 +119,41 @@
       const bool ready = usable(*h);
       const bool coming = !h->heard && !h->draining && !h->deleting && !h->listed_failed;
       if ((!ready && !coming) || h->size.cpus <= 0) continue;
-      Slot s(h.get(), Room(*h, nominations_, h->size), {h->type, h->zone, h->spot}, coming);
+      Slot& s = add_slot(h.get(), *h, {h->type, h->zone, h->spot}, coming);
       for (const Booking& b : h->bookings) {
-        if (b.state != TaskState::fetching) continue;
-        if (const Job* j = cluster_.job(b.task.job)) s.fetching.push_back(j->spec().image);
+        if (b.state == TaskState::fetching && !b.image.empty()) s.fetching.push_back(b.image);
       }
-      slots_.push_back(std::move(s));
     }
     for (const auto& [offer, n] : market_.pending) {
       for (uint32_t i = 0; i < n; ++i) add_expected(offer);
     }
   }
 
-  void add_expected(const Offer& offer) {
+  Kind& kind_of(const Offer& offer) {
+    auto [it, fresh] = kinds_.try_emplace(offer);
+    if (fresh) {
+      it->second.offer = offer;
+      it->second.type = cluster_.type(offer.type);
+    }
+    return it->second;
+  }
+
+  Slot& add_slot(const Host* host, const Host& as, const Offer& offer, bool coming) {
+    Kind& kind = kind_of(offer);
+    Slot& s = slots_.emplace_back(host, Room(as, nominations_, as.size), kind, coming);
+    kind.slots(coming).push_back(&s);
+    if (host) by_host_[host->id] = &s;
+    return s;
+  }
+
+  Slot* add_expected(const Offer& offer) {
     const MachineType* t = cluster_.type(offer.type);
-    if (!t) return;
+    if (!t) return nullptr;
     auto imagined = std::make_unique<Host>();
-    imagined->type = offer.type;
-    imagined->zone = offer.zone;
-    imagined->spot = offer.spot;
     imagined->size = t->size;
-    imagined->fetch_gb_per_s = t->fetch_gb_per_s;
-    Slot s(nullptr, Room(*imagined, nominations_, t->size), offer, true);
+    Slot& s = add_slot(nullptr, *imagined, offer, true);
     imagined_.push_back(std::move(imagined));
-    slots_.push_back(std::move(s));
+    return &s;
   }
 
   // How many tasks of a class may come before new room could be made for them.
@@ -164,9 +186,8 @@
     const JobSpec& spec = e.sample;
     std::vector<std::pair<double, Slot*>> order;
     for (Slot& s : slots_) {
-      if (!place_allowed(spec, s.type, s.zone, s.spot)) continue;
-      const MachineType* t = cluster_.type(s.type);
-      if (!t || !spec.need.fits_in(t->size)) continue;
+      const MachineType* t = s.kind->type;
+      if (!t || !place_allowed(spec, s.kind->offer) || !spec.need.fits_in(t->size)) continue;
       // What is free now first; machines with accelerators last; those with its images before
       // others.
       double rank = 0;
@@ -184,17 +205,16 @@
       if (left == 0) break;
       if (!s->kept_for.empty()) continue;
       // Machines with accelerators are dear to hold free: no more of them than the mean asks for.
-      const bool borrowed = spec.need.gpus <= 0 && cluster_.type(s->type)->size.gpus > 0;
+      const bool borrowed = spec.need.gpus <= 0 && s->kind->type->size.gpus > 0;
       if (borrowed) left = std::min(left, h.mean > kept ? h.mean - kept : 0);
       // What it may hold once shorter work there is done: all but what its own kind holds.
-      Resources room = cluster_.type(s->type)->size;
+      Resources room = s->kind->type->size;
       if (s->host) {
         for (const Booking& b : s->host->bookings) {
           if (b.gang || b.priority > spec.priority) room -= b.need;
         }
       }
-      uint32_t n = 0;
-      while (n < left && (spec.need * (n + 1)).fits_in(room)) ++n;
+      const uint32_t n = preemption::tasks_in(room, spec.need, left);
       if (n == 0) continue;
       s->kept = spec.need * n;
       s->kept_for = name;
@@ -308,16 +328,23 @@
   }
 
   Slot* slot_of(const std::string& host) {
-    for (Slot& s : slots_) {
-      if (s.host && s.host->id == host) return &s;
+    const auto it = by_host_.find(host);
+    return it == by_host_.end() ? nullptr : it->second;
+  }
+
+  // On a machine of a kind that the job allows: not where it failed, and its record has room.
+  bool may_use(const Job& j, Slot& s) const {
+    if (!s.host) return true;
+    if (!j.failing && !j.failed_on.empty() && j.failed_on.contains(s.host->id)) return false;
+    if (!s.record_room) {
+      const size_t size = cluster_.record_size(*s.host);
+      s.record_room = size < cluster_.record_limit() ? cluster_.record_limit() - size : 0;
     }
-    return nullptr;
+    return *s.record_room >= Cluster::kRecordPerJob + Cluster::kRecordPerTask;
   }
 
-  bool may_go(const Job& j, const Slot& s) const {
-    if (!place_allowed(j.spec(), s.type, s.zone, s.spot)) return false;
-    if (s.host && !j.failing && j.failed_on.contains(s.host->id)) return false;
-    return !(s.host && !cluster_.room_in_record(*s.host));
+  bool may_go(const Job& j, Slot& s) const {
+    return place_allowed(j.spec(), s.kind->offer) && may_use(j, s);
   }
 
   // How many tasks of the job fit there, up to `most`. Work without accelerators leaves to each
@@ -345,6 +372,7 @@
       limit(rest.cpus, spec.need.cpus);
       limit(rest.gpus, spec.need.gpus);
       limit(rest.memory_gb, spec.need.memory_gb);
+      if (most == 0) return 0;
     }
     return s.room.count(spec.need, spec.priority, most);
   }
@@ -352,8 +380,7 @@
   // How many tasks of the job are in each zone, counting every booking (safety 4).
   std::map<std::string, uint32_t> zones_in_use(const Job& j) const {
     std::map<std::string, uint32_t> zones;
-    if (!j.any_live()) return zones;
-    for (const auto& [id, h] : cluster_.hosts()) {
+    for (const Host* h : cluster_.holders(j.spec().id)) {
       for (const Booking& b : h->bookings) {
         if (b.task.job == j.spec().id) ++zones[h->zone];
       }
@@ -374,7 +401,7 @@
   double place_cost(const Job& j, const Slot& s) const {
     const JobSpec& spec = j.spec();
     double cost = 0;
-    const MachineType* t = cluster_.type(s.type);
+    const MachineType* t = s.kind->type;
     const bool cached = s.host && s.host->has_image(spec.image);
     if (!cached && t && t->fetch_gb_per_s > 0) {
       const bool under_way =
@@ -386,7 +413,7 @@
     if (t) {
       // A machine with accelerators is kept for work that needs them.
       if (t->size.gpus > 0 && spec.need.gpus <= 0) cost += 40;
-      if (spec.spot && !s.spot) cost += 5;
+      if (spec.spot && !s.kind->offer.spot) cost += 5;
     }
     // Filling up what is in use lets idle machines go.
     const Resources& free = s.room.free();
@@ -396,10 +423,12 @@
 
   std::vector<std::pair<double, Slot*>> ranked(const Job& j, bool coming) {
     std::vector<std::pair<double, Slot*>> out;
-    for (Slot& s : slots_) {
-      if (s.coming != coming || !may_go(j, s)) continue;
-      if (!j.spec().need.fits_in(s.room.free())) continue;
-      out.emplace_back(place_cost(j, s), &s);
+    for (auto& [offer, kind] : kinds_) {
+      if (!place_allowed(j.spec(), offer)) continue;
+      for (Slot* s : kind.slots(coming)) {
+        if (!j.spec().need.fits_in(s->room.free()) || !may_use(j, *s)) continue;
+        out.emplace_back(place_cost(j, *s), s);
+      }
     }
     std::stable_sort(out.begin(), out.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -416,9 +445,9 @@
       if (placed == want) break;
       uint32_t n = count_on(spec, *s, want - placed);
       if (n == 0) continue;
-      if (zoned && !coming) n = std::min(n, zone_allows(spec, zones, s->zone));
+      if (zoned && !coming) n = std::min(n, zone_allows(spec, zones, s->zone()));
       if (n == 0) continue;
-      if (zoned && !coming) zones[s->zone] += n;
+      if (zoned && !coming) zones[s->zone()] += n;
       put(j, *s, n, {});
       placed += n;
     }
@@ -455,9 +484,15 @@
     usage_[static_cast<size_t>(j.team())] += j.spec().need * n;
     if (s.coming) return;  // kept in mind for this round only
     s.fetching.push_back(j.spec().image);
+    take_record(s, n);
     plan_.placements.push_back({j.spec().id, s.host->id, n, std::move(ends)});
   }
 
+  static void take_record(Slot& s, uint32_t n) {
+    const size_t takes = Cluster::kRecordPerJob + Cluster::kRecordPerTask * n;
+    if (s.record_room) *s.record_room -= std::min(*s.record_room, takes);
+  }
+
   // All tasks or none. With `coming`, machines that are not up yet count too, and nothing is
   // placed.
   bool place_gang(const Job& j, bool coming) {
@@ -470,7 +505,9 @@
     std::vector<std::string> zones;
     if (spec.one_zone) {
       for (const auto& [c, s] : order) {
-        if (std::find(zones.begin(), zones.end(), s->zone) == zones.end()) zones.push_back(s->zone);
+        if (std::find(zones.begin(), zones.end(), s->zone()) == zones.end()) {
+          zones.push_back(s->zone());
+        }
       }
     } else {
       zones.emplace_back();  // any
@@ -486,11 +523,11 @@
       std::map<std::string, uint32_t> used;
       for (const auto& [cost, s] : order) {
         if (left == 0) break;
-        if (!zone.empty() && s->zone != zone) continue;
+        if (!zone.empty() && s->zone() != zone) continue;
         uint32_t n = count_on(spec, *s, left);
-        if (spec.spread) n = std::min(n, zone_allows(spec, used, s->zone));
+        if (spec.spread) n = std::min(n, zone_allows(spec, used, s->zone()));
         if (n == 0) continue;
-        used[s->zone] += n;
+        if (spec.spread) used[s->zone()] += n;
         c.on.emplace_back(s, n);
         c.cost = std::max(c.cost, cost);  // the slowest sets the gang's start
         left -= n;
@@ -503,6 +540,7 @@
       s->room.take(spec.need * n);
       if (s->host && !s->coming) {
         s->fetching.push_back(spec.image);
+        take_record(*s, n);
         g.on.emplace_back(s->host->id, n);
         plan_.wanted.push_back(s->host->id);
       }
@@ -528,8 +566,8 @@
       const uint32_t n = share > 0 ? static_cast<uint32_t>(1 / share + 1e-9) : 1;
       for (const auto& zone : t.zones) {
         for (const bool spot : {true, false}) {
-          if (!place_allowed(spec, t.name, zone, spot)) continue;
           const Offer offer{t.name, zone, spot};
+          if (!place_allowed(spec, offer)) continue;
           if (market_.refused.contains(offer)) continue;
           const double price = spot ? t.spot_price : t.price;
           out.push_back({offer, std::max(1u, n), price / std::max(1u, n), &t});
@@ -543,16 +581,16 @@
 
   bool fleet_full() const { return market_.machines + wished_ >= op_.max_machines; }
 
-  void wish(const Offer& offer, const std::string& job) {
+  Slot& wish(const Offer& offer, const std::string& job) {
     ++wished_;
-    add_expected(offer);
-    for (Wish& w : plan_.wishes) {
-      if (w.offer == offer) {
-        ++w.count;
-        return;
-      }
+    const auto w = std::find_if(plan_.wishes.begin(), plan_.wishes.end(),
+                                [&](const Wish& x) { return x.offer == offer; });
+    if (w == plan_.wishes.end()) {
+      plan_.wishes.push_back({offer, 1, job});
+    } else {
+      ++w->count;
     }
-    plan_.wishes.push_back({offer, 1, job});
+    return *add_expected(offer);
   }
 
   // Rents for what is left of an array; returns how many tasks that provides for.
@@ -572,8 +610,7 @@
     uint32_t machines = static_cast<uint32_t>(std::ceil(open / per_machine));
     machines = std::clamp(machines, 1u, 8u);
     for (uint32_t i = 0; i < machines && !fleet_full(); ++i) {
-      wish(d.offer, spec.id);
-      Slot& s = slots_.back();
+      Slot& s = wish(d.offer, spec.id);
       const uint32_t n = s.room.count(spec.need, spec.priority, open);
       s.room.take(spec.need * n);
     }
@@ -584,9 +621,9 @@
     const JobSpec& spec = w.job->spec();
     if (w.job->failing) return;
     std::map<std::string, uint32_t> zone_free;
-    for (const Slot& s : slots_) {
-      if (may_go(*w.job, s)) {
-        zone_free[s.zone] += count_on(spec, s, spec.tasks);
+    for (Slot& s : slots_) {
+      if (spec.need.fits_in(s.room.free()) && may_go(*w.job, s)) {
+        zone_free[s.zone()] += count_on(spec, s, spec.tasks);
       }
     }
     const auto offers = deals(spec);
@@ -600,7 +637,7 @@
     }
     const uint32_t missing = spec.tasks > have ? spec.tasks - have : 1;
     const uint32_t machines = (missing + d.slots - 1) / d.slots;
-    for (uint32_t i = 0; i < machines && !fleet_full(); ++i) wish(d.offer, spec.id);
+    for (uint32_t i = 0; i < machines && !fleet_full(); ++i) (void)wish(d.offer, spec.id);
     (void)place_gang(*w.job, true);
   }
 
@@ -632,7 +669,7 @@
     const Job& j = *w.job;
     const JobSpec& spec = j.spec();
     std::vector<Resources> beyond;
-    preemption::Eligibility who{spec.priority, j.team(), w.guaranteed, nullptr};
+    preemption::Eligibility who{spec.priority, j.team(), w.guaranteed, nullptr, &guaranteed_};
     if (w.guaranteed) {
       for (size_t t = 0; t < usage_.size(); ++t) {
         const auto& team = cluster_.teams()[t];
@@ -648,9 +685,15 @@
     if (zoned) zones = zones_in_use(j);
     std::optional<preemption::Candidate> best;
     Slot* best_slot = nullptr;
+    // What nobody could be evicted for a moment ago, nobody can be evicted for now: jobs of one
+    // shape are alike in this.
+    const Shape shape{j.team(), w.guaranteed, spec.spot, spec.priority, spec.need.cpus, spec.need.gpus,
+                      spec.need.memory_gb, spec.types, zoned ? spec.id : spec.zone.value_or("")};
+    if (renews == 0 && hopeless_.contains(shape)) return false;
     for (Slot& s : slots_) {
-      if (s.coming || evicted_on_.contains(s.host->id) || !may_go(j, s)) continue;
-      if (zoned && zone_allows(spec, zones, s.zone) == 0) continue;
+      if (s.coming || !spec.need.fits_in(s.host->size)) continue;
+      if (evicted_on_.contains(s.host->id) || !may_go(j, s)) continue;
+      if (zoned && zone_allows(spec, zones, s.zone()) == 0) continue;
       auto c = preemption::simulate(s.room, nominations_, cluster_, spec.need, renews, who, now_);
       if (!c) continue;
       if (!best || better(*c, s, *best, *best_slot, spec)) {
@@ -658,7 +701,10 @@
         best_slot = &s;
       }
     }
-    if (!best) return false;
+    if (!best) {
+      if (renews == 0) hopeless_.insert(shape);
+      return false;
+    }
     evicted_on_.insert(best_slot->host->id);
     plan_.evictions.push_back({spec.id, best_slot->host->id, spec.need, spec.priority,
                                best->victims, best->lost_seconds, renews});
@@ -684,7 +730,7 @@
               const Slot& sb, const JobSpec& spec) const {
     if (a.highest != b.highest) return a.highest < b.highest;
     const auto cost = [&](const preemption::Candidate& c, const Slot& s) {
-      const MachineType* t = cluster_.type(s.type);
+      const MachineType* t = s.kind->type;
       const double fetch = s.host->has_image(spec.image) || !t || t->fetch_gb_per_s <= 0
                                ? 0
                                : spec.image_gb / t->fetch_gb_per_s;
@@ -703,11 +749,16 @@
   WallTime wall_;
   Instant now_;
   std::set<std::string> guaranteed_;
-  std::vector<Slot> slots_;
+  std::map<Offer, Kind> kinds_;
+  std::deque<Slot> slots_;  // they stay where they are
+  std::unordered_map<std::string_view, Slot*> by_host_;
   std::vector<std::unique_ptr<Host>> imagined_;
   std::vector<Resources> usage_;
   std::vector<Resources> given_up_;  // by team: victims chosen in this round
   std::set<std::string> evicted_on_;
+  using Shape = std::tuple<int, bool, bool, Priority, double, double, double, std::vector<std::string>,
+                           std::string>;
+  std::set<Shape> hopeless_;
   size_t wished_ = 0;
   Plan plan_;
 };
--- a/src/dunlinknot/state/client.hpp
+++ b/src/dunlinknot/state/client.hpp
@@ -105,6 +105,9 @@
   uint64_t throttled() const { return throttled_; }
   // Room for API calls: leaves the last part of the budget to the leader's own work.
   bool has_room(double requests, double writes);
+  // How long until the budget allows so many writes.
+  Nanos writes_in(double writes) { return writes_.until(loop_.now(), writes); }
+  double write_level() { return writes_.level(loop_.now()); }
 
  private:
   Task<http::Reply> call(std::string method, std::string target, std::string body, Nanos within,
