--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -48,6 +48,9 @@
   jobs_.clear();
   hosts_.clear();
   holders_.clear();
+  dirty_hosts_.clear();
+  held_hosts_.clear();
+  saved_.clear();
   gone_.clear();
   stop_hosts_.clear();
   dead_records_.clear();
@@ -148,17 +151,16 @@
   }
   jobs_.erase(it);
   needs.schedule = true;
-  if (!cancelled) return needs;
-  // Safety 3: nothing of a cancelled job starts, and all of it is stopped everywhere. Bookings
-  // whose `run` never went out under us are simply undone; the others stay booked until they are
-  // gone.
+  // Safety 3: nothing of a closed job starts, and all of a cancelled one is stopped everywhere.
+  // Bookings whose `run` never went out under us are simply undone; the others stay booked until
+  // they are gone.
   for (Host* h : std::vector(holders(id))) {
     for (size_t i = h->bookings.size(); i-- > 0;) {
       Booking& b = h->bookings[i];
       if (b.task.job != id) continue;
-      if (b.phase == Phase::planned || b.phase == Phase::durable) {
+      if (b.unsent()) {
         needs |= end_booking(*h, i, now);
-      } else {
+      } else if (cancelled) {
         stop(*h, b, StopReason::cancelled, Seconds(0), now);
         needs.stops = true;
       }
@@ -221,10 +223,15 @@
 }
 
 void Cluster::add_booking(Host& h, Booking b) {
-  h.used += b.need;
-  if (b.team >= 0) usage_[static_cast<size_t>(b.team)].used += b.need;
+  if (b.ahead) {
+    ++h.ahead;
+  } else {
+    h.used += b.need;
+    if (b.team >= 0) usage_[static_cast<size_t>(b.team)].used += b.need;
+  }
   if (Job* j = job(b.task.job); j && b.task.index < j->spec().tasks) {
     j->booked(b.task.index);
+    if (b.ahead) ++j->ahead;
     if (b.gang) j->gang_attempt = std::max(j->gang_attempt, b.attempt);
   }
   auto& holders = holders_[b.task.job];
@@ -242,7 +249,12 @@
   Needs needs;
   const Booking b = std::move(h.bookings[i]);
   h.bookings.erase(h.bookings.begin() + static_cast<ptrdiff_t>(i));
-  h.used -= b.need;
+  if (b.ahead) {
+    --h.ahead;
+  } else {
+    h.used -= b.need;
+    if (b.team >= 0) usage_[static_cast<size_t>(b.team)].used -= b.need;
+  }
   if (h.bookings.empty()) {
     h.used = Resources{};
     h.idle_since = now;
@@ -252,11 +264,11 @@
     std::erase(holders->second, &h);
     if (holders->second.empty()) holders_.erase(holders);
   }
-  if (b.team >= 0) usage_[static_cast<size_t>(b.team)].used -= b.need;
   h.trailing = true;
   needs.schedule = true;
   Job* j = job(b.task.job);
   if (!j || b.task.index >= j->spec().tasks) return needs;
+  if (b.ahead) --j->ahead;
   if (b.state == TaskState::running && j->running > 0) --j->running;
   j->unbooked(b.task.index);
   if (!j->is_done(b.task.index)) j->waiting_since = now;
@@ -274,7 +286,7 @@
       if (i >= h->bookings.size()) continue;
       Booking& b = h->bookings[i];
       if (b.task.job != id || b.attempt != attempt) continue;
-      if (b.phase == Phase::planned || b.phase == Phase::durable) {
+      if (b.unsent()) {
         needs |= end_booking(*h, i, now, true);
       } else if (!b.stopping()) {
         stop(*h, b, StopReason::gang_broken, Seconds(0), now);
@@ -285,6 +297,20 @@
 }
 
 Booking& Cluster::book(Host& h, Job& j, uint32_t index, uint64_t attempt, Instant now) {
+  add_booking(h, booking_of(h, j, index, attempt, now));
+  return h.bookings.back();
+}
+
+Booking& Cluster::book_ahead(Host& h, Job& j, uint32_t index, uint64_t attempt, Turn turn,
+                             Instant now) {
+  Booking b = booking_of(h, j, index, attempt, now);
+  b.ahead = true;
+  b.turn = turn;
+  add_booking(h, std::move(b));
+  return h.bookings.back();
+}
+
+Booking Cluster::booking_of(Host& h, const Job& j, uint32_t index, uint64_t attempt, Instant now) {
   Booking b;
   b.task = TaskRef{j.spec().id, index};
   b.attempt = attempt;
@@ -296,9 +322,77 @@
   b.priority = j.spec().priority;
   b.placed_at = now;
   note_image(h, j);
+  mark_dirty(h, b.gang);
+  return b;
+}
+
+void Cluster::mark_dirty(Host& h, bool first) {
   h.dirty = true;
-  add_booking(h, std::move(b));
-  return h.bookings.back();
+  if (h.queued) return;
+  h.queued = true;
+  first ? dirty_hosts_.push_front(h.id) : dirty_hosts_.push_back(h.id);
+}
+
+bool Cluster::take_back_ahead(const std::string& id, Instant now) {
+  Host* most = nullptr;
+  for (Host* h : holders(id)) {
+    const bool any = find_where(
+        h->bookings, [&](const Booking& b) { return b.ahead && b.task.job == id; });
+    if (any && (!most || h->ahead > most->ahead)) most = h;
+  }
+  if (!most) return false;
+  for (size_t i = most->bookings.size(); i-- > 0;) {
+    const Booking& b = most->bookings[i];
+    if (!b.ahead || b.task.job != id) continue;
+    (void)end_booking(*most, i, now);
+    return true;
+  }
+  return false;
+}
+
+void Cluster::set_held(std::map<std::string, Resources> by_host, std::vector<Resources> by_team) {
+  for (Host* h : held_hosts_) h->held = Resources{};
+  held_hosts_.clear();
+  for (const auto& [id, room] : by_host) {
+    Host* h = host(id);
+    if (!h) continue;
+    h->held = room;
+    held_hosts_.push_back(h);
+  }
+  saved_ = std::move(by_team);
+}
+
+// The room that a task leaves is taken at once by one that waits for it on the machine: its booking
+// stands already, so its `run` goes out with the answer to the very report that told of the room.
+void Cluster::promote_ahead(Host& h, Instant now) {
+  if (h.ahead == 0) return;
+  std::vector<Booking*> waiting;
+  for (Booking& b : h.bookings) {
+    if (b.ahead && b.phase == Phase::durable) waiting.push_back(&b);
+  }
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [](const Booking* a, const Booking* b) { return a->turn.before(b->turn); });
+  for (Booking* b : waiting) {
+    Job* j = job(b->task.job);
+    if (!j || j->is_done(b->task.index) || now < j->not_before || !b->need.fits_in(h.free() - h.held)) continue;
+    if (b->team >= 0) {
+      // Safety 4: its team's limit counts it from here on.
+      const auto t = static_cast<size_t>(b->team);
+      Resources used = usage_[t].used + b->need;
+      if (t < saved_.size()) used += saved_[t];
+      const auto over = [](double most, double in_use, double need) {
+        return most > 0 && need > 0 && in_use > most + Resources::kSlack;
+      };
+      const auto& team = platform_.teams[t];
+      if (over(team.cpus_max, used.cpus, b->need.cpus)) continue;
+      if (over(team.gpus_max, used.gpus, b->need.gpus)) continue;
+      usage_[t].used += b->need;
+    }
+    b->ahead = false;
+    --h.ahead;
+    --j->ahead;
+    h.used += b->need;
+  }
 }
 
 void Cluster::note_image(Host& h, const Job& j) {
@@ -327,7 +421,7 @@
   Needs needs;
   Booking* b = h.find(task, attempt);
   if (!b || b->stopping()) return needs;
-  if (b->phase == Phase::planned || b->phase == Phase::durable) {
+  if (b->unsent()) {
     // No worker will ever report it, so nothing would end it once it counted as being stopped.
     return end_booking(h, static_cast<size_t>(b - h.bookings.data()), now);
   }
@@ -357,7 +451,7 @@
     if (!h || h->address.empty() || !h->heard || h->lost) continue;
     StopCall call{h->id, h->address, h->session, {}};
     for (const Booking& b : h->bookings) {
-      if (b.stopping() && b.phase != Phase::planned && b.phase != Phase::durable) {
+      if (b.stopping() && !b.unsent()) {
         call.commands.push_back({Command::Op::stop, b.task, b.attempt, b.grace});
       }
     }
@@ -415,8 +509,9 @@
     out.push_back({Command::Op::stop, t.task, t.attempt, k->grace});
   }
   if (may_start && !h.draining && !h.deleting) {
+    promote_ahead(h, now);
     for (Booking& k : h.bookings) {
-      if (k.phase != Phase::durable || k.stopping() || out.size() >= kMaxCommands) continue;
+      if (k.phase != Phase::durable || k.ahead || k.stopping() || out.size() >= kMaxCommands) continue;
       const Job* j = job(k.task.job);
       if (!j) continue;
       if (k.gang && !(j->gang_go && j->gang_attempt == k.attempt)) continue;  // safety 4
@@ -500,7 +595,7 @@
       spdlog::info("machine {} reports {} try {} that is not booked there: {}", h.id, t.task.text(),
                    t.attempt, welcome ? "kept" : "stopped");
       add_booking(h, std::move(stray));
-      h.dirty = true;
+      mark_dirty(h);
       needs.store_hosts = true;
       k = &h.bookings.back();
       if (!welcome) stop(h, *k, StopReason::stray, Seconds(0), now);
@@ -526,7 +621,7 @@
     for (size_t i = h.bookings.size(); i-- > 0;) {
       if (i >= h.bookings.size()) continue;
       Booking& k = h.bookings[i];
-      if (k.phase == Phase::planned || k.phase == Phase::durable) continue;
+      if (k.unsent()) continue;
       if (find_where(b.tasks, [&](const TaskReport& t) {
             return t.attempt == k.attempt && t.task == k.task && t.state != TaskState::exited;
           })) {
@@ -641,13 +736,21 @@
 
 Needs Cluster::tick(Instant now) {
   Needs needs;
+  const Nanos silent = to_nanos(platform_.report * 2 + Seconds(1));
   for (auto& [id, h] : hosts_) {
     const bool leaving = h->recall_at.has_value();
-    if (!leaving) continue;
+    if (!leaving) {
+      // What waits on a machine that nothing is heard of, or that will not get it, goes elsewhere.
+      if (h->ahead == 0 || (now - h->last_heard < silent && !h->draining && !h->deleting)) continue;
+      for (size_t i = h->bookings.size(); i-- > 0;) {
+        if (h->bookings[i].ahead) needs |= end_booking(*h, i, now);
+      }
+      continue;
+    }
     for (size_t i = h->bookings.size(); i-- > 0;) {
       if (i >= h->bookings.size()) continue;
       Booking& b = h->bookings[i];
-      if (b.phase == Phase::planned || b.phase == Phase::durable) {
+      if (b.unsent()) {
         needs |= end_booking(*h, i, now);
         continue;
       }
@@ -715,7 +818,7 @@
     const bool there = find_where(
         h.stored, [&](const auto& s) { return s.second == b.attempt && s.first == b.task; });
     if (!there) {
-      h.dirty = true;
+      mark_dirty(h, b.gang);
       needs.store_hosts = true;
       continue;
     }
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -5,6 +5,7 @@
 // and ends only when it is certain that the task is not there (any more). Limits, zones and room
 // are counted over bookings, never over what happens to be reported.
 #pragma once
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,6 +29,13 @@
 
 enum class StopReason : uint8_t { none, preempted, recall, cancelled, stray, gang_broken, drain };
 
+// Where a task stands among those that wait: the higher tier first, then what is due first.
+struct Turn {
+  int tier = 0;
+  double due = 0;  // seconds of this process's steady clock
+  bool before(const Turn& o) const { return tier != o.tier ? tier > o.tier : due < o.due; }
+};
+
 struct Booking {
   TaskRef task;
   uint64_t attempt = 0;
@@ -42,10 +50,16 @@
   TaskState state = TaskState::fetching;
   Instant placed_at{};
   Instant running_since{};  // zero: not seen running
+  // Stands in the record, but waits on the machine for room that other tasks there will leave: its
+  // `run` has not gone out. It takes no room and none of its team's limit until then.
+  bool ahead = false;
+  Turn turn;
   StopReason stop = StopReason::none;
   Seconds grace{0};
   Instant stop_at{};
   bool stopping() const { return stop != StopReason::none; }
+  // Its `run` was never sent under us: it may be undone at any time.
+  bool unsent() const { return phase == Phase::planned || phase == Phase::durable; }
 };
 
 struct CachedImage {
@@ -89,12 +103,15 @@
 
   std::vector<Booking> bookings;
   Resources used;
+  Resources held;  // promised to others: holds of nominations, headroom; ahead tasks leave it alone
+  uint32_t ahead = 0;
   std::vector<CachedImage> images;  // most recently used last; a guess from what was started there
 
   // Its record in the state service.
   uint64_t stamp = 0;
   bool stamp_known = true;
   bool dirty = false;     // bookings were added
+  bool queued = false;    // in the queue of records to be written
   bool trailing = false;  // bookings ended: rewritten when there is time
   bool storing = false;
   std::vector<std::pair<TaskRef, uint64_t>> stored;
@@ -191,6 +208,12 @@
 
   // --- decisions
   Booking& book(Host& host, Job& job, uint32_t index, uint64_t attempt, Instant now);
+  Booking& book_ahead(Host& host, Job& job, uint32_t index, uint64_t attempt, Turn turn,
+                      Instant now);
+  // Takes one of the job's tasks that wait on some machine back, so that it can go elsewhere.
+  bool take_back_ahead(const std::string& job, Instant now);
+  // What ahead tasks must leave free: on machines, and of teams' limits.
+  void set_held(std::map<std::string, Resources> by_host, std::vector<Resources> by_team);
   void stop(Host& host, Booking& booking, StopReason reason, Seconds grace, Instant now);
   // Gives a booking up for another: undone at once if its `run` never went out, else stopped.
   Needs preempt(Host& host, const TaskRef& task, uint64_t attempt, Instant now);
@@ -200,6 +223,9 @@
 
   // --- the record of a machine in the state service
   wire::HostRecord record_of(const Host& h) const;
+  // The machines whose records want writing, first come first served; gangs' first.
+  std::deque<std::string>& dirty_hosts() { return dirty_hosts_; }
+  void mark_dirty(Host& h, bool first = false);
   void host_stored(Host& h, const wire::HostRecord& as_written, uint64_t stamp, Needs& needs);
   bool room_in_record(const Host& h) const {
     return record_size(h) + kRecordPerJob + kRecordPerTask <= record_limit_;
@@ -220,6 +246,7 @@
   bool is_gone(const std::string& id) const { return gone_.contains(id); }
 
  private:
+  Booking booking_of(Host& h, const Job& j, uint32_t index, uint64_t attempt, Instant now);
   void add_booking(Host& h, Booking b);
   // Ends booking i of h. Returns what follows from it.
   Needs end_booking(Host& h, size_t i, Instant now, bool gang_goes_on = false);
@@ -227,6 +254,7 @@
   void break_gang(const std::string& job, uint64_t attempt, Instant now, Needs& needs);
   void stop_gang(const std::string& job, uint64_t attempt, Seconds grace, Instant now);
   void on_error(Host& h, Job* job, Instant now);
+  void promote_ahead(Host& h, Instant now);
   bool fresh(Host& h, const Beat& b) const;
   void take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs);
   void note_image(Host& h, const Job& job);
@@ -251,6 +279,9 @@
   std::map<std::string, Expected> expected_;  // by class
   std::map<std::string, Instant> gone_;  // machines removed of late: late reports are not believed
   std::vector<std::pair<std::string, uint64_t>> dead_records_;
+  std::deque<std::string> dirty_hosts_;
+  std::vector<Host*> held_hosts_;
+  std::vector<Resources> saved_;  // of teams' limits, for gangs that wait for them
   std::vector<std::string> stop_hosts_;  // hosts with stops that were not called out yet
 };
 
--- a/src/dunlinknot/cluster/job.hpp
+++ b/src/dunlinknot/cluster/job.hpp
@@ -30,6 +30,7 @@
   uint32_t done_count() const { return done_count_; }
   bool all_done() const { return done_count_ == spec_.tasks; }
   bool any_live() const { return !live_.empty(); }
+  uint32_t live_count() const { return static_cast<uint32_t>(live_.size()); }
   bool is_live(uint32_t index) const { return live_.contains(index); }
 
   void mark_done(uint32_t index);
@@ -49,6 +50,7 @@
   Nanos backoff{0};
   Instant not_before{};
 
+  uint32_t ahead = 0;         // tasks that wait on machines for room there
   uint32_t running = 0;       // tasks reported running
   uint64_t gang_attempt = 0;  // the attempt under way
   bool gang_go = false;       // all its bookings are durable: runs may go out
--- a/src/dunlinknot/cluster/ledger.cpp
+++ b/src/dunlinknot/cluster/ledger.cpp
@@ -15,6 +15,10 @@
 constexpr auto kRetry = Millis(120);
 constexpr auto kTrailing = std::chrono::seconds(4);
 constexpr size_t kTxnBytes = 40 * 1024;
+constexpr double kApiReserve = 0.2;   // of the write budget's burst, left to the users' requests
+constexpr double kSlackLevel = 0.6;   // of the burst: what can wait is written above this
+constexpr double kPartialShare = 0.15;  // of the write budget, for the progress of open jobs
+constexpr Seconds kPartialPause{1};
 
 }  // namespace
 
@@ -106,6 +110,7 @@
 
 // Machines whose record may have been changed by a transaction with an unknown outcome.
 Task<void> Ledger::refresh_hosts(uint64_t reign) {
+  stamps_unknown_ = false;
   std::vector<std::string> ids = domain_.picture.with([](Picture& p) {
     std::vector<std::string> out;
     for (const auto& [id, h] : p.cluster.hosts()) {
@@ -116,7 +121,10 @@
   for (const auto& id : ids) {
     state::GetResult got = co_await state_.get(wire::host_key(id), kCommitTime);
     if (!domain_.in_reign(reign)) co_return;
-    if (got.outcome != Outcome::ok) continue;
+    if (got.outcome != Outcome::ok) {
+      stamps_unknown_ = true;
+      continue;
+    }
     Needs needs;
     domain_.picture.with([&](Picture& p) {
       Host* h = p.cluster.host(id);
@@ -130,41 +138,74 @@
   }
 }
 
+// The ledger keeps to what is left of the state service's budget, with a reserve for the users'
+// requests at this node: else the bookings of a large cluster crowd submissions out.
+Task<void> Ledger::await_budget(uint64_t reign, double writes) {
+  const double burst = state_.write_burst();
+  const double want = std::min(writes, burst / 4) + burst * kApiReserve;
+  while (domain_.in_reign(reign) && state_.write_level() < want) {
+    co_await domain_.loop.sleep(std::max<Nanos>(state_.writes_in(want), Millis(2)));
+  }
+}
+
 // Returns whether there may be more to do at once.
 Task<bool> Ledger::store_some_hosts(uint64_t reign, bool trailing) {
-  co_await refresh_hosts(reign);
-  if (!domain_.in_reign(reign)) co_return false;
+  if (stamps_unknown_) {
+    co_await refresh_hosts(reign);
+    if (!domain_.in_reign(reign)) co_return false;
+  }
   const size_t max_ops = std::min<size_t>(domain_.platform.txn_ops, 16);
+  const size_t waiting =
+      domain_.picture.with([](Picture& p) { return p.cluster.dirty_hosts().size(); });
+  if (waiting == 0 && !trailing) co_return false;
+  // Records that only shrank are rewritten with what is left over: an entry too many costs a new
+  // leader a moment, a booking that waits costs a machine.
+  if (waiting == 0 && state_.write_level() < state_.write_burst() * kSlackLevel) co_return false;
+  co_await await_budget(reign, static_cast<double>(std::min(waiting, max_ops)));
+  if (!domain_.in_reign(reign)) co_return false;
   std::vector<HostWrite> batch;
   std::set<std::string> jobs;
   state::Txn txn;
   txn.guards.push_back(epoch_guard());
   domain_.picture.with([&](Picture& p) {
     size_t bytes = 0;
-    for (int pass = 0; pass < 2; ++pass) {
+    const auto full = [&] { return batch.size() >= max_ops || bytes > kTxnBytes; };
+    const auto add = [&](Host& h) {
+      HostWrite w{h.id, h.stamp, p.cluster.record_of(h)};
+      std::string value;
+      if (!w.record.groups.empty()) value = wire::write_host(w.record);
+      if (value.empty() && w.stamp == 0) {
+        h.dirty = h.trailing = false;
+        return true;
+      }
+      // Safety 3: a booking is refused when its job was cancelled or is over.
+      std::set<std::string> fresh;
+      for (const Booking& b : h.bookings) {
+        if (b.phase == Phase::planned && p.cluster.job(b.task.job)) fresh.insert(b.task.job);
+      }
+      if (txn.guards.size() + 1 + fresh.size() + jobs.size() > max_ops * 4) return false;
+      jobs.insert(fresh.begin(), fresh.end());
+      bytes += value.size() * 2;
+      txn.guards.push_back({wire::host_key(h.id), w.stamp});
+      txn.writes.push_back({wire::host_key(h.id), std::move(value), 0});
+      h.storing = true;
+      batch.push_back(std::move(w));
+      return true;
+    };
+    auto& queue = p.cluster.dirty_hosts();
+    for (size_t left = queue.size(); left > 0 && !full(); --left) {
+      const std::string id = std::move(queue.front());
+      queue.pop_front();
+      Host* h = p.cluster.host(id);
+      if (!h) continue;
+      h->queued = false;
+      if (!h->dirty) continue;
+      if (!h->stamp_known || h->storing || !add(*h)) p.cluster.mark_dirty(*h);
+    }
+    if (trailing && queue.empty()) {
       for (auto& [id, h] : p.cluster.hosts()) {
-        if (batch.size() >= max_ops || bytes > kTxnBytes) break;
-        if (!h->stamp_known || h->storing) continue;
-        if (pass == 0 ? !h->dirty : !(trailing && h->trailing)) continue;
-        HostWrite w{id, h->stamp, p.cluster.record_of(*h)};
-        std::string value;
-        if (!w.record.groups.empty()) value = wire::write_host(w.record);
-        if (value.empty() && w.stamp == 0) {
-          h->dirty = h->trailing = false;
-          continue;
-        }
-        // Safety 3: a booking is refused when its job was cancelled or is over.
-        std::set<std::string> fresh;
-        for (const Booking& b : h->bookings) {
-          if (b.phase == Phase::planned && p.cluster.job(b.task.job)) fresh.insert(b.task.job);
-        }
-        if (txn.guards.size() + 1 + fresh.size() + jobs.size() > max_ops * 4) break;
-        jobs.insert(fresh.begin(), fresh.end());
-        bytes += value.size() * 2;
-        txn.guards.push_back({wire::host_key(id), w.stamp});
-        txn.writes.push_back({wire::host_key(id), std::move(value), 0});
-        h->storing = true;
-        batch.push_back(std::move(w));
+        if (full()) break;
+        if (h->trailing && !h->dirty && h->stamp_known && !h->storing && !add(*h)) break;
       }
     }
     for (const auto& id : jobs) {
@@ -190,7 +231,9 @@
         p.cluster.host_stored(*h, w.record, w.record.groups.empty() ? 0 : r.revision, needs);
       } else if (r.outcome == Outcome::unknown || r.guard_failed(wire::host_key(w.id))) {
         h->stamp_known = false;
+        stamps_unknown_ = true;
       }
+      if (!r.applied && h->dirty) p.cluster.mark_dirty(*h);
     }
     for (const auto& id : jobs) {
       if (r.guard_failed(wire::job_key(id))) {
@@ -212,7 +255,7 @@
 Task<bool> Ledger::delete_some_records(uint64_t reign) {
   auto dead = domain_.picture.with([](Picture& p) { return p.cluster.take_dead_records(); });
   for (auto& d : dead) garbage_.push_back(std::move(d));
-  if (garbage_.empty() || !state_.has_room(20, 30)) co_return false;
+  if (garbage_.empty() || state_.write_level() < state_.write_burst() * kSlackLevel) co_return false;
   state::Txn txn;
   txn.guards.push_back(epoch_guard());
   std::vector<std::pair<std::string, uint64_t>> batch;
@@ -246,7 +289,8 @@
 
 Task<void> Ledger::store_done(uint64_t reign) {
   while (domain_.in_reign(reign)) {
-    (void)co_await domain_.store_done.wait_until(domain_.loop.now() + std::chrono::seconds(2));
+    (void)co_await domain_.store_done.wait_until(
+        std::max(next_partial_, domain_.loop.now() + std::chrono::seconds(1)));
     for (bool more = true; more && domain_.in_reign(reign);) more = co_await store_some_done(reign);
   }
 }
@@ -267,6 +311,9 @@
   std::set<std::string> jobs;
   state::Txn txn;
   txn.guards.push_back(epoch_guard());
+  // A job's end is told at once. How far an open job is need not be: until it is written down the
+  // workers keep what they completed. On a large cluster one write a task would eat the budget.
+  const bool partial = domain_.loop.now() >= next_partial_;
   domain_.picture.with([&](Picture& p) {
     for (const auto& [id, j] : p.cluster.jobs()) {
       if (txn.writes.size() + 2 > max_ops) break;
@@ -277,7 +324,7 @@
         txn.writes.push_back({wire::final_key(id), wire::write_final({false, j->spec().tasks}), 0});
         txn.writes.push_back({wire::job_key(id), "", 0});
         finished.push_back({id, j->spec().tasks});
-      } else if (!j->dirty_chunks().empty()) {
+      } else if (partial && !j->dirty_chunks().empty()) {
         jobs.insert(id);
         txn.guards.push_back({wire::job_key(id), j->stamp});
         for (const uint32_t n : j->dirty_chunks()) {
@@ -292,7 +339,18 @@
       }
     }
   });
-  if (txn.writes.empty()) co_return false;
+  if (txn.writes.empty()) {
+    if (partial && partial_writes_ > 0) {
+      const double rate = state_.write_burst() * kPartialShare;
+      const Seconds pause = std::max(kPartialPause, Seconds(partial_writes_ / rate));
+      next_partial_ = domain_.loop.now() + to_nanos(pause);
+      partial_writes_ = 0;
+    }
+    co_return false;
+  }
+  partial_writes_ += static_cast<double>(chunks.size());
+  if (finished.empty()) co_await await_budget(reign, static_cast<double>(txn.writes.size()));
+  if (!domain_.in_reign(reign)) co_return false;
   state::TxnResult r = co_await state_.commit(std::move(txn), kCommitTime);
   if (!domain_.in_reign(reign)) co_return false;
   if (r.guard_failed(wire::kEpochKey)) {
--- a/src/dunlinknot/cluster/ledger.hpp
+++ b/src/dunlinknot/cluster/ledger.hpp
@@ -40,11 +40,15 @@
   Task<bool> relist_jobs(uint64_t reign);
   void take_job(const state::Item& item);
   state::Guard epoch_guard() const;
+  Task<void> await_budget(uint64_t reign, double writes);
 
   Domain& domain_;
   state::Client& state_;
   Hooks hooks_;
   uint64_t jobs_revision_ = 0;
+  bool stamps_unknown_ = false;
+  Instant next_partial_{};     // when the progress of open jobs is written next
+  double partial_writes_ = 0;  // since the last pause
   std::deque<std::pair<std::string, uint64_t>> garbage_;  // keys to delete when there is time
 };
 
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -17,7 +17,7 @@
 constexpr int kRoundRest = 3;  // times what the last round took
 constexpr auto kNoBeats = std::chrono::seconds(5);
 constexpr auto kStateSilent = Millis(2500);
-constexpr double kBudgetShare = 0.6;  // of the state service's limits, for one node
+constexpr double kBudgetShare = 0.85;  // of the state service's limits, for one node
 
 }  // namespace
 
@@ -276,7 +276,8 @@
       Job* j = p.cluster.job(x.job);
       Host* h = p.cluster.host(x.host);
       for (uint32_t i = 0; i < x.count; ++i) {
-        const auto index = j->take_pending();
+        auto index = j->take_pending();
+        if (!index && p.cluster.take_back_ahead(x.job, now)) index = j->take_pending();
         if (!index) break;
         p.cluster.book(*h, *j, *index, p.cluster.next_attempt(), now);
         booked = true;
@@ -298,6 +299,17 @@
         }
       }
     }
+    for (const auto& x : plan.ahead) {
+      Job* j = p.cluster.job(x.job);
+      Host* h = p.cluster.host(x.host);
+      for (uint32_t i = 0; i < x.count; ++i) {
+        const auto index = j->take_pending();
+        if (!index) break;
+        p.cluster.book_ahead(*h, *j, *index, p.cluster.next_attempt(), x.turn, now);
+        booked = true;
+      }
+    }
+    p.cluster.set_held(plan.held, plan.saved);
     for (const auto& e : plan.evictions) {
       if (e.renews) p.nominations.end(e.renews, preemption::End::renominated);
       Host* h = p.cluster.host(e.host);
--- a/src/dunlinknot/preemption/fit.cpp
+++ b/src/dunlinknot/preemption/fit.cpp
@@ -104,7 +104,7 @@
   if (who.beyond) beyond = *who.beyond;
   for (size_t i = 0; i < h.bookings.size(); ++i) {
     const cluster::Booking& b = h.bookings[i];
-    if (b.gang) continue;  // gangs are never victims
+    if (b.gang || b.ahead) continue;  // gangs are never victims; what waits there holds no room
     const bool listed = on_list(list, b);
     if (b.stopping() && !listed) continue;  // leaves for another reason, on its own time
     bool allowed = b.priority < who.priority || listed;
--- a/src/dunlinknot/preemption/fit.hpp
+++ b/src/dunlinknot/preemption/fit.hpp
@@ -23,6 +23,12 @@
             const Resources& removed = {}, const Resources& removed_victims = {}) const;
   // How many such tasks fit, up to `most`.
   uint32_t count(const Resources& need, Priority priority, uint32_t most) const;
+  // What is promised to preemptors here.
+  Resources held() const {
+    Resources sum;
+    for (const Hold& h : holds_) sum += h.room;
+    return sum;
+  }
   void take(const Resources& need) { free_ -= need; }
   void give(const Resources& need) { free_ += need; }
   void end_hold(uint64_t id);
--- a/src/dunlinknot/runtime/budget.hpp
+++ b/src/dunlinknot/runtime/budget.hpp
@@ -26,6 +26,7 @@
     refill(now);
     return level_ >= n ? Nanos(0) : to_nanos(Seconds((n - level_) / rate_));
   }
+  double burst() const { return burst_; }
   double level(Instant now) {
     refill(now);
     return level_;
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -17,7 +17,13 @@
 using preemption::Room;
 
 constexpr uint32_t kMaxEvictionsPerRound = 6;
+constexpr uint32_t kMostWishes = 50;  // machines for one job in one round
 constexpr Seconds kNoDeadline{600};
+constexpr Seconds kMostWait{120};    // for the first task of a job
+constexpr Seconds kMostLate{240};    // beyond its due time
+constexpr double kAheadWrites = 0.5; // of the state service's writes, for bookings ahead
+constexpr double kMostAhead = 20;    // seconds of work booked ahead on a machine
+constexpr uint32_t kAheadTurns = 4;  // at most so many times what fits there
 constexpr Millis kHeadroomMemory = std::chrono::seconds(200);
 constexpr Seconds kRoomTakes{75};        // a boot and a fetch, or work there coming to its end
 constexpr double kMeanShare = 0.6;       // of the mean, on machines with accelerators
@@ -68,6 +74,7 @@
   Resources kept;  // headroom for a class that is expected to start at once
   std::string_view kept_for;
   std::optional<size_t> record_room;  // bytes left in its record
+  uint32_t ahead = 0;                 // tasks that wait there, this round's included
   const std::string& zone() const { return kind->offer.zone; }
 };
 
@@ -93,8 +100,18 @@
       usage_.push_back(cluster_.usage(static_cast<int>(t)).used);
     }
     given_up_.resize(usage_.size());
+    plan_.saved.resize(usage_.size());
+    ahead_span_ = std::clamp(
+        static_cast<double>(slots_.size()) / (platform_.state_write_rps * kAheadWrites),
+        platform_.report.count() * 2, kMostAhead);
     for (const auto& [name, e] : cluster_.expected()) keep_headroom(name, e);
     for (const Waiting& w : queue()) consider(w);
+    for (const Slot& s : slots_) {
+      if (!s.host) continue;
+      Resources held = s.room.held();
+      if (!s.kept_for.empty()) held += s.kept;
+      if (held.cpus > 0 || held.gpus > 0 || held.memory_gb > 0) plan_.held[s.host->id] = held;
+    }
     return std::move(plan_);
   }
 
@@ -104,6 +121,12 @@
     bool guaranteed = false;
     double due = 0;  // seconds from now
     bool late = false;
+    bool overdue = false;  // waits for longer than any order may ask of it
+    int tier() const {
+      return (overdue ? 100 : 0) + static_cast<int>(job->spec().priority) * 4 +
+             (guaranteed ? 2 : 0) + (late ? 0 : 1);
+    }
+    cluster::Turn turn() const { return {tier(), due}; }
   };
 
   // --- preparation
@@ -120,6 +143,7 @@
       const bool coming = !h->heard && !h->draining && !h->deleting && !h->listed_failed;
       if ((!ready && !coming) || h->size.cpus <= 0) continue;
       Slot& s = add_slot(h.get(), *h, {h->type, h->zone, h->spot}, coming);
+      s.ahead = h->ahead;
       for (const Booking& b : h->bookings) {
         if (b.state == TaskState::fetching && !b.image.empty()) s.fetching.push_back(b.image);
       }
@@ -252,24 +276,30 @@
     return {spec.deadline->count() - age, true};
   }
 
+  // The bound on waiting, whatever the order says: a job that nothing was started of goes first
+  // after a while, and so does one that is late for longer than that.
+  bool overdue(const Job& j) const {
+    const double age = std::chrono::duration<double>(wall_ - j.submitted()).count();
+    if (j.done_count() == 0 && j.live_count() == j.ahead) return age > kMostWait.count();
+    const double due = j.spec().deadline ? j.spec().deadline->count() : kNoDeadline.count();
+    return age > due + kMostLate.count();
+  }
+
   std::vector<Waiting> queue() const {
     std::vector<Waiting> q;
     for (const auto& [id, j] : cluster_.jobs()) {
-      if (j->pending() == 0 || now_ < j->not_before || j->team() < 0) continue;
+      if (j->pending() + j->ahead == 0 || now_ < j->not_before || j->team() < 0) continue;
       const Due d = due(*j);
-      q.push_back({j.get(), guaranteed_.contains(id), d.in, d.late});
+      q.push_back({j.get(), guaranteed_.contains(id), d.in, d.late, overdue(*j)});
     }
     // Priority first, then what a guarantee covers, then what is due first. What is late whatever
     // happens waits behind what can still be in time: else, when more comes than can be done, every
-    // job is brought to its end a little too late.
-    std::sort(q.begin(), q.end(), [](const Waiting& a, const Waiting& b) {
-      if (a.job->spec().priority != b.job->spec().priority) {
-        return a.job->spec().priority > b.job->spec().priority;
-      }
-      if (a.guaranteed != b.guaranteed) return a.guaranteed;
-      if (a.late != b.late) return b.late;
-      if (a.due != b.due) return a.due < b.due;
-      return a.job->spec().id < b.job->spec().id;
+    // job is brought to its end a little too late. But no job waits for ever: what is overdue goes
+    // before all else.
+    std::sort(q.begin(), q.end(), [](const Waiting& x, const Waiting& y) {
+      const cluster::Turn a = x.turn(), b = y.turn();
+      if (a.before(b) || b.before(a)) return a.before(b);
+      return x.job->spec().id < y.job->spec().id;
     });
     return q;
   }
@@ -286,6 +316,7 @@
         // Its team's limit is used up by work behind it in the queue: what that leaves is saved up
         // for the gang, else smaller tasks take it piece by piece and the gang never starts.
         usage_[team] += j.spec().need * j.spec().tasks;
+        plan_.saved[team] += j.spec().need * j.spec().tasks;
         return;
       }
       if (!place_gang(j, false)) {
@@ -295,16 +326,77 @@
       return;
     }
     uint32_t want = std::min(j.pending(), allowed);
-    if (want == 0) return;
     std::vector<uint64_t> own = nominations_.of(j.spec().id);
-    want -= place_nominated(j, want, own);
-    if (want > 0) want -= place_array(j, want, false, own);
-    // What has a nomination waits for its room; the rest may use machines that are coming, then
-    // rent.
-    uint32_t open = want > own.size() ? want - static_cast<uint32_t>(own.size()) : 0;
-    if (open > 0) open -= place_array(j, open, true, own);
-    if (open > 0) open -= rent_array(w, open);
-    preempt(w, own, open);
+    uint32_t open = 0;
+    uint32_t placed = 0;
+    if (want > 0) {
+      placed = place_nominated(j, want, own);
+      placed += place_array(w, want - placed, own);
+      // What has a nomination waits for its room; the rest may use machines that are coming, then
+      // rent.
+      want -= placed;
+      open = want > own.size() ? want - static_cast<uint32_t>(own.size()) : 0;
+      if (open > 0) open -= place_coming(w, open);
+      if (open > 0) open -= rent_array(w, open);
+      preempt(w, own, open);
+    }
+    if (placed == j.pending() && placed < allowed) {
+      // Room for what waits elsewhere: it need not wait, if that is sooner.
+      (void)place_array(w, std::min(j.ahead, allowed - placed), own, ahead_span_);
+    } else if (own.empty()) {
+      place_ahead(w, j.pending() - placed);
+    }
+  }
+
+  // Seconds of work booked ahead on a full machine: enough that the budget for writing bookings
+  // down is spent on many at a time, and that a task that ends is followed at once.
+  void place_ahead(const Waiting& w, uint32_t n) {
+    const JobSpec& spec = w.job->spec();
+    if (n == 0 || w.job->failing || spec.service || spec.one_zone || spec.spread) return;
+    const cluster::Turn mine = absolute(w.turn());
+    const double run = std::max(1.0, spec.estimate.count());
+    const auto& team = cluster_.teams()[static_cast<size_t>(w.job->team())];
+    const Resources& used = usage_[static_cast<size_t>(w.job->team())];
+    if (tasks_below_limit(team, used, spec.need) == 0) {
+      // At its limit only what ends of its own makes room.
+      const double running = std::max(spec.need.cpus > 0 ? used.cpus / spec.need.cpus : 0,
+                                      spec.need.gpus > 0 ? used.gpus / spec.need.gpus : 0);
+      const auto most = static_cast<uint32_t>(std::ceil(running * ahead_span_ / run));
+      uint32_t& already = limited_ahead_[w.job->team()];
+      already += w.job->ahead;
+      n = std::min(n, most > already ? most - already : 0);
+      already += n;
+    }
+    for (auto& [offer, kind] : kinds_) {
+      if (n == 0) return;
+      if (!kind.type || !place_allowed(spec, offer)) continue;
+      const uint32_t slots = preemption::tasks_in(kind.type->size, spec.need, 10'000);
+      if (slots == 0) continue;
+      const auto cap = std::clamp(static_cast<uint32_t>(std::ceil(slots * ahead_span_ / run)), 1u,
+                                  slots * kAheadTurns);
+      for (Slot* s : kind.ready) {
+        if (n == 0) return;
+        if (!s->kept_for.empty() || s->ahead >= cap * 2 || !s->host->has_image(spec.image)) continue;
+        uint32_t before = s->ahead - s->host->ahead;
+        if (s->host->ahead > 0) {
+          for (const Booking& b : s->host->bookings) {
+            if (b.ahead && !mine.before(b.turn)) ++before;
+          }
+        }
+        // Filled up when half is gone, not one by one.
+        if (before * 2 > cap || !may_use(*w.job, *s)) continue;
+        const uint32_t k = std::min(n, cap - before);
+        s->ahead += k;
+        n -= k;
+        take_record(*s, k);
+        plan_.ahead.push_back({spec.id, s->host->id, k, mine});
+      }
+    }
+  }
+
+  cluster::Turn absolute(cluster::Turn t) const {
+    t.due += to_seconds(now_.time_since_epoch()).count();
+    return t;
   }
 
   // The preemptor tries its held room before anything else. Used nominations are taken out of
@@ -435,33 +527,64 @@
     return out;
   }
 
-  uint32_t place_array(const Job& j, uint32_t want, bool coming, std::vector<uint64_t>& own) {
+  // On machines that are there, where it costs no more than `most`.
+  uint32_t place_array(const Waiting& w, uint32_t want, std::vector<uint64_t>& own,
+                       double most = std::numeric_limits<double>::max()) {
+    const Job& j = *w.job;
     const JobSpec& spec = j.spec();
+    if (want == 0) return 0;
     uint32_t placed = 0;
     std::map<std::string, uint32_t> zones;
     const bool zoned = spec.one_zone || spec.spread;
     if (zoned) zones = zones_in_use(j);
-    for (const auto& [cost, s] : ranked(j, coming)) {
-      if (placed == want) break;
+    for (const auto& [cost, s] : ranked(j, false)) {
+      if (placed == want || cost > most) break;
       uint32_t n = count_on(spec, *s, want - placed);
       if (n == 0) continue;
-      if (zoned && !coming) n = std::min(n, zone_allows(spec, zones, s->zone()));
+      if (zoned) n = std::min(n, zone_allows(spec, zones, s->zone()));
       if (n == 0) continue;
-      if (zoned && !coming) zones[s->zone()] += n;
+      if (zoned) zones[s->zone()] += n;
       put(j, *s, n, {});
       placed += n;
     }
     // Tasks that found a place elsewhere need their nominations no more.
-    if (!coming) {
-      while (!own.empty() && own.size() > want - placed) {
-        plan_.cleared.push_back(own.back());
-        if (Slot* s = slot_of(nominations_.all().at(own.back()).host)) s->room.end_hold(own.back());
-        own.pop_back();
-      }
+    while (!own.empty() && own.size() > want - placed) {
+      plan_.cleared.push_back(own.back());
+      if (Slot* s = slot_of(nominations_.all().at(own.back()).host)) s->room.end_hold(own.back());
+      own.pop_back();
     }
     return placed;
   }
 
+  // How often a place on such a machine can be used before the job is due.
+  double turns(const Waiting& w, const MachineType& t, double up_in) const {
+    const JobSpec& spec = w.job->spec();
+    const double fetch = t.fetch_gb_per_s > 0 ? spec.image_gb / t.fetch_gb_per_s : 0;
+    const double run = std::max(1.0, spec.estimate.count());
+    const double span = std::max(run, w.due - up_in - fetch);
+    return std::max(1.0, std::floor(span / run));
+  }
+
+  // Machines that are not up yet: kept in mind for this round, so that not every round rents anew
+  // for the same work. A place there serves as many tasks as it has time for.
+  uint32_t place_coming(const Waiting& w, uint32_t want) {
+    const JobSpec& spec = w.job->spec();
+    uint32_t provided = 0;
+    for (const auto& [cost, s] : ranked(*w.job, true)) {
+      if (provided == want) break;
+      const MachineType& t = *s->kind->type;
+      double up_in = t.boot.count();
+      if (s->host) up_in -= std::min(up_in, to_seconds(now_ - s->host->known_since).count());
+      const double times = turns(w, t, up_in);
+      const auto places = static_cast<uint32_t>(std::ceil((want - provided) / times));
+      const uint32_t n = count_on(spec, *s, places);
+      if (n == 0) continue;
+      s->room.take(spec.need * n);
+      provided = std::min(want, provided + static_cast<uint32_t>(n * times));
+    }
+    return provided;
+  }
+
   static uint32_t zone_allows(const JobSpec& spec, const std::map<std::string, uint32_t>& zones,
                               const std::string& zone) {
     uint32_t n = std::numeric_limits<uint32_t>::max();
@@ -482,7 +605,6 @@
   void put(const Job& j, Slot& s, uint32_t n, std::vector<uint64_t> ends) {
     s.room.take(j.spec().need * n);
     usage_[static_cast<size_t>(j.team())] += j.spec().need * n;
-    if (s.coming) return;  // kept in mind for this round only
     s.fetching.push_back(j.spec().image);
     take_record(s, n);
     plan_.placements.push_back({j.spec().id, s.host->id, n, std::move(ends)});
@@ -602,17 +724,16 @@
     if (offers.empty() || fleet_full()) return 0;
     const Deal& d = offers.front();
     // As many machines as finish what is left in time, not one for every task at once.
-    const double fetch = d.type->fetch_gb_per_s > 0 ? spec.image_gb / d.type->fetch_gb_per_s : 0;
-    const double run = std::max(1.0, spec.estimate.count());
-    const double span = std::max(run, w.due - d.type->boot.count() - fetch);
-    const double turns = std::max(1.0, std::floor(span / run));
-    const double per_machine = d.slots * turns;
+    const double times = turns(w, *d.type, d.type->boot.count());
+    const double per_machine = d.slots * times;
     uint32_t machines = static_cast<uint32_t>(std::ceil(open / per_machine));
-    machines = std::clamp(machines, 1u, 8u);
+    machines = std::clamp(machines, 1u, kMostWishes);
+    uint32_t places = static_cast<uint32_t>(std::ceil(open / times));
     for (uint32_t i = 0; i < machines && !fleet_full(); ++i) {
       Slot& s = wish(d.offer, spec.id);
-      const uint32_t n = s.room.count(spec.need, spec.priority, open);
+      const uint32_t n = s.room.count(spec.need, spec.priority, places);
       s.room.take(spec.need * n);
+      places -= n;
     }
     return open;
   }
@@ -759,6 +880,8 @@
   using Shape = std::tuple<int, bool, bool, Priority, double, double, double, std::vector<std::string>,
                            std::string>;
   std::set<Shape> hopeless_;
+  double ahead_span_ = 0;  // seconds of work that may wait on a machine
+  std::map<int, uint32_t> limited_ahead_;
   size_t wished_ = 0;
   Plan plan_;
 };
--- a/src/dunlinknot/scheduler/scheduler.hpp
+++ b/src/dunlinknot/scheduler/scheduler.hpp
@@ -34,6 +34,14 @@
   std::vector<uint64_t> ends_nominations;
 };
 
+// Tasks booked on a machine that is full: each starts when a task there ends.
+struct Ahead {
+  std::string job;
+  std::string host;
+  uint32_t count = 0;
+  cluster::Turn turn;
+};
+
 struct GangPlacement {
   std::string job;
   std::vector<std::pair<std::string, uint32_t>> on;
@@ -58,6 +66,9 @@
 struct Plan {
   std::vector<Placement> placements;
   std::vector<GangPlacement> gangs;
+  std::vector<Ahead> ahead;
+  std::map<std::string, Resources> held;  // by machine: room that ahead tasks must leave
+  std::vector<Resources> saved;           // by team: of its limit, for gangs
   std::vector<Wish> wishes;
   std::vector<Eviction> evictions;
   std::vector<uint64_t> cleared;    // nominations that came to nothing
--- a/src/dunlinknot/state/client.hpp
+++ b/src/dunlinknot/state/client.hpp
@@ -107,6 +107,7 @@
   bool has_room(double requests, double writes);
   // How long until the budget allows so many writes.
   Nanos writes_in(double writes) { return writes_.until(loop_.now(), writes); }
+  double write_burst() const { return writes_.burst(); }
   double write_level() { return writes_.level(loop_.now()); }
 
  private:
