--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -336,8 +336,8 @@
 bool Cluster::take_back_ahead(const std::string& id, Instant now) {
   Host* most = nullptr;
   for (Host* h : holders(id)) {
-    const bool any = find_where(
-        h->bookings, [&](const Booking& b) { return b.ahead && b.task.job == id; });
+    const bool any =
+        find_where(h->bookings, [&](const Booking& b) { return b.ahead && b.task.job == id; });
     if (any && (!most || h->ahead > most->ahead)) most = h;
   }
   if (!most) return false;
@@ -374,7 +374,11 @@
                    [](const Booking* a, const Booking* b) { return a->turn.before(b->turn); });
   for (Booking* b : waiting) {
     Job* j = job(b->task.job);
-    if (!j || j->is_done(b->task.index) || now < j->not_before || !b->need.fits_in(h.free() - h.held)) continue;
+    if (!j || j->is_done(b->task.index) || now < j->not_before) continue;
+    // Work without accelerators leaves beside each free one what its next task will need.
+    Resources room = h.free() - h.held;
+    if (b->need.gpus <= 0 && h.free().gpus > 0) room -= beside_gpu_ * h.free().gpus;
+    if (!b->need.fits_in(room)) continue;
     if (b->team >= 0) {
       // Safety 4: its team's limit counts it from here on.
       const auto t = static_cast<size_t>(b->team);
@@ -511,7 +515,8 @@
   if (may_start && !h.draining && !h.deleting) {
     promote_ahead(h, now);
     for (Booking& k : h.bookings) {
-      if (k.phase != Phase::durable || k.ahead || k.stopping() || out.size() >= kMaxCommands) continue;
+      if (k.phase != Phase::durable || k.ahead || k.stopping() || out.size() >= kMaxCommands)
+        continue;
       const Job* j = job(k.task.job);
       if (!j) continue;
       if (k.gang && !(j->gang_go && j->gang_attempt == k.attempt)) continue;  // safety 4
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -281,7 +281,7 @@
   std::vector<std::pair<std::string, uint64_t>> dead_records_;
   std::deque<std::string> dirty_hosts_;
   std::vector<Host*> held_hosts_;
-  std::vector<Resources> saved_;  // of teams' limits, for gangs that wait for them
+  std::vector<Resources> saved_;         // of teams' limits, for gangs that wait for them
   std::vector<std::string> stop_hosts_;  // hosts with stops that were not called out yet
 };
 
--- a/src/dunlinknot/cluster/ledger.cpp
+++ b/src/dunlinknot/cluster/ledger.cpp
@@ -15,8 +15,8 @@
 constexpr auto kRetry = Millis(120);
 constexpr auto kTrailing = std::chrono::seconds(4);
 constexpr size_t kTxnBytes = 40 * 1024;
-constexpr double kApiReserve = 0.2;   // of the write budget's burst, left to the users' requests
-constexpr double kSlackLevel = 0.6;   // of the burst: what can wait is written above this
+constexpr double kApiReserve = 0.2;     // of the write budget's burst, left to the users' requests
+constexpr double kSlackLevel = 0.6;     // of the burst: what can wait is written above this
 constexpr double kPartialShare = 0.15;  // of the write budget, for the progress of open jobs
 constexpr Seconds kPartialPause{1};
 
@@ -255,7 +255,8 @@
 Task<bool> Ledger::delete_some_records(uint64_t reign) {
   auto dead = domain_.picture.with([](Picture& p) { return p.cluster.take_dead_records(); });
   for (auto& d : dead) garbage_.push_back(std::move(d));
-  if (garbage_.empty() || state_.write_level() < state_.write_burst() * kSlackLevel) co_return false;
+  if (garbage_.empty() || state_.write_level() < state_.write_burst() * kSlackLevel)
+    co_return false;
   state::Txn txn;
   txn.guards.push_back(epoch_guard());
   std::vector<std::pair<std::string, uint64_t>> batch;
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -250,7 +250,8 @@
     // The more a round takes, the longer the pause: rounds leave most of the processor to the
     // workers' reports and the users, however large the cluster.
     const Nanos took = loop_.now() - now;
-    co_await loop_.sleep(std::clamp<Nanos>(took * kRoundRest, to_nanos(op_.round_pause), kTick * 3));
+    co_await loop_.sleep(
+        std::clamp<Nanos>(took * kRoundRest, to_nanos(op_.round_pause), kTick * 3));
   }
 }
 
@@ -328,6 +329,34 @@
   domain_.follow_up(needs);
 }
 
+void Daemon::report_cluster() {
+  size_t up = 0, machines = 0, fetching = 0, running = 0, other = 0, ahead = 0, waiting = 0;
+  Resources size, used;
+  domain_.picture.with([&](Picture& p) {
+    for (const auto& [id, h] : p.cluster.hosts()) {
+      ++machines;
+      if (!h->heard || h->lost) continue;
+      ++up;
+      size += h->size;
+      used += h->used;
+      for (const auto& b : h->bookings) {
+        ++(b.ahead                           ? ahead
+           : b.phase != cluster::Phase::seen ? other
+           : b.state == TaskState::fetching  ? fetching
+           : b.state == TaskState::running   ? running
+                                             : other);
+      }
+    }
+    for (const auto& [id, j] : p.cluster.jobs()) waiting += j->pending();
+  });
+  spdlog::info(
+      "cluster: {} of {} machines up, {:.0f} of {:.0f} cpus and {:.0f} of {:.0f} gpus booked; "
+      "tasks: "
+      "{} running, {} fetching, {} starting or stopping, {} ahead, {} waiting",
+      up, machines, used.cpus, size.cpus, used.gpus, size.gpus, running, fetching, other, ahead,
+      waiting);
+}
+
 // Refusals and the like are counted, not told one by one.
 Task<void> Daemon::report_counts() {
   uint64_t accepted = 0, refused = 0, throttled = 0, away = 0, evictions = 0;
@@ -341,6 +370,7 @@
         "{} evictions; {} connections open",
         a - accepted, r - refused, t - throttled, w - away, e - evictions,
         server_ ? server_->connections() : 0);
+    if (elector_.leading() && domain_.loaded) report_cluster();
     accepted = a, refused = r, throttled = t, away = w, evictions = e;
   }
 }
--- a/src/dunlinknot/node/daemon.hpp
+++ b/src/dunlinknot/node/daemon.hpp
@@ -36,6 +36,7 @@
   Task<void> learn_catalog();
   Task<void> keep_catalog(uint64_t reign);
   Task<void> report_counts();
+  void report_cluster();
   bool ready() const;
   wire::peer::Status status() const;
   wire::peer::Progress progress();
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -19,11 +19,11 @@
 constexpr uint32_t kMaxEvictionsPerRound = 6;
 constexpr uint32_t kMostWishes = 50;  // machines for one job in one round
 constexpr Seconds kNoDeadline{600};
-constexpr Seconds kMostWait{120};    // for the first task of a job
-constexpr Seconds kMostLate{240};    // beyond its due time
-constexpr double kAheadWrites = 0.5; // of the state service's writes, for bookings ahead
-constexpr double kMostAhead = 20;    // seconds of work booked ahead on a machine
-constexpr uint32_t kAheadTurns = 4;  // at most so many times what fits there
+constexpr Seconds kMostWait{120};     // for the first task of a job
+constexpr Seconds kMostLate{240};     // beyond its due time
+constexpr double kAheadWrites = 0.5;  // of the state service's writes, for bookings ahead
+constexpr double kMostAhead = 20;     // seconds of work booked ahead on a machine
+constexpr uint32_t kAheadTurns = 4;   // at most so many times what fits there
 constexpr Millis kHeadroomMemory = std::chrono::seconds(200);
 constexpr Seconds kRoomTakes{75};        // a boot and a fetch, or work there coming to its end
 constexpr double kMeanShare = 0.6;       // of the mean, on machines with accelerators
@@ -71,7 +71,7 @@
   const Kind* kind;
   bool coming = false;
   std::vector<std::string_view> fetching;  // images that tasks there are waiting for
-  Resources kept;  // headroom for a class that is expected to start at once
+  Resources kept;                          // headroom for a class that is expected to start at once
   std::string_view kept_for;
   std::optional<size_t> record_room;  // bytes left in its record
   uint32_t ahead = 0;                 // tasks that wait there, this round's included
@@ -101,9 +101,9 @@
     }
     given_up_.resize(usage_.size());
     plan_.saved.resize(usage_.size());
-    ahead_span_ = std::clamp(
-        static_cast<double>(slots_.size()) / (platform_.state_write_rps * kAheadWrites),
-        platform_.report.count() * 2, kMostAhead);
+    ahead_span_ =
+        std::clamp(static_cast<double>(slots_.size()) / (platform_.state_write_rps * kAheadWrites),
+                   platform_.report.count() * 2, kMostAhead);
     for (const auto& [name, e] : cluster_.expected()) keep_headroom(name, e);
     for (const Waiting& w : queue()) consider(w);
     for (const Slot& s : slots_) {
@@ -376,7 +376,8 @@
                                   slots * kAheadTurns);
       for (Slot* s : kind.ready) {
         if (n == 0) return;
-        if (!s->kept_for.empty() || s->ahead >= cap * 2 || !s->host->has_image(spec.image)) continue;
+        if (!s->kept_for.empty() || s->ahead >= cap * 2 || !s->host->has_image(spec.image))
+          continue;
         uint32_t before = s->ahead - s->host->ahead;
         if (s->host->ahead > 0) {
           for (const Booking& b : s->host->bookings) {
@@ -808,8 +809,15 @@
     Slot* best_slot = nullptr;
     // What nobody could be evicted for a moment ago, nobody can be evicted for now: jobs of one
     // shape are alike in this.
-    const Shape shape{j.team(), w.guaranteed, spec.spot, spec.priority, spec.need.cpus, spec.need.gpus,
-                      spec.need.memory_gb, spec.types, zoned ? spec.id : spec.zone.value_or("")};
+    const Shape shape{j.team(),
+                      w.guaranteed,
+                      spec.spot,
+                      spec.priority,
+                      spec.need.cpus,
+                      spec.need.gpus,
+                      spec.need.memory_gb,
+                      spec.types,
+                      zoned ? spec.id : spec.zone.value_or("")};
     if (renews == 0 && hopeless_.contains(shape)) return false;
     for (Slot& s : slots_) {
       if (s.coming || !spec.need.fits_in(s.host->size)) continue;
@@ -877,8 +885,8 @@
   std::vector<Resources> usage_;
   std::vector<Resources> given_up_;  // by team: victims chosen in this round
   std::set<std::string> evicted_on_;
-  using Shape = std::tuple<int, bool, bool, Priority, double, double, double, std::vector<std::string>,
-                           std::string>;
+  using Shape = std::tuple<int, bool, bool, Priority, double, double, double,
+                           std::vector<std::string>, std::string>;
   std::set<Shape> hopeless_;
   double ahead_span_ = 0;  // seconds of work that may wait on a machine
   std::map<int, uint32_t> limited_ahead_;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -487,8 +487,10 @@
   j.need = {8, 0, 4};
   s.submit(j);
   s.run_for(Millis(2500));
-  for (auto& [id, w] : s.workers) w->fails = [](const TaskRef&) { return true; };
-  s.run_for(seconds(100));
+  for (int i = 0; i < 1000; ++i) {  // on machines that come later too
+    for (auto& [id, w] : s.workers) w->fails = [](const TaskRef&) { return true; };
+    s.run_for(Millis(100));
+  }
   EXPECT_LT(s.starts, 60u);
   EXPECT_GT(s.starts, 3u);
   EXPECT_EQ(s.ask(0, "POST", "/v1/jobs/run-000001/withdraw").status, 200);
