--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <tuple>
 
 #include "dunlinknot/leadership/elector.hpp"
 
@@ -15,6 +16,8 @@
 constexpr size_t kMaxFailedOn = 32;
 constexpr size_t kMaxCommands = 400;
 constexpr Seconds kSaveSlack{4};
+constexpr uint32_t kStrikes = 3;
+constexpr size_t kFewDeaf = 2;
 
 template <class V, class F>
 auto* find_where(V& v, F&& f) {
@@ -486,6 +489,14 @@
     answer.kind = BeatAnswer::Kind::stale;
     return answer;
   }
+  const std::pair at(b.session, b.seq);
+  if (h.heard && at <= std::pair(h.beat_session, h.beat_seq)) {
+    // A copy of a beat that was answered already, or of an older one: nobody waits for the answer.
+    // It frees nothing, and it is no sign of life.
+    answer.kind = BeatAnswer::Kind::stale;
+    return answer;
+  }
+  std::tie(h.beat_session, h.beat_seq) = at;
   if (!fresh(h, b)) {
     // Older than a report already seen (a direct call's answer may overtake a beat): its worker may
     // still be waiting, so its lease is renewed, but nothing is read from it and nothing is
@@ -539,8 +550,11 @@
 
 void Cluster::take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs) {
   const bool new_session = h.heard && b.session > h.session;
+  // Its lease ran out although we answered it in time: either our answers do not get there, or it
+  // was started anew.
+  bool missed_us = complete && new_session && h.ours && now - h.last_answered < lease_ / 2;
+  bool obeyed = false;
   if (!h.heard) {
-    h.first_heard = now;
     h.idle_since = now;
     needs.schedule = true;
   }
@@ -606,7 +620,8 @@
       if (!welcome) stop(h, *k, StopReason::stray, Seconds(0), now);
     }
     if (!j && !k->stopping()) stop(h, *k, StopReason::cancelled, Seconds(0), now);
-    if (k->phase != Phase::seen) k->phase = Phase::seen;
+    obeyed |= k->phase == Phase::sent;
+    k->phase = Phase::seen;
     if (t.state != k->state) {
       if (t.state == TaskState::running) {
         if (k->running_since == Instant{}) k->running_since = now;
@@ -635,14 +650,46 @@
       if (b.token != epoch_) continue;
       if (k.phase == Phase::sent && !k.stopping() && job(k.task.job)) {
         k.phase = Phase::durable;  // the response was lost: said again in the next one
+        missed_us = true;
         continue;
       }
       needs |= end_booking(h, i, now);
     }
   }
+  if (obeyed) {
+    h.strikes = 0;
+    h.deaf = false;
+  } else if (missed_us) {
+    strike(h, now);
+  }
   if (!stop_hosts_.empty()) needs.stops = true;
 }
 
+// A report's arrival is no proof that answers get through. Runs that are sent again and again, and
+// sessions that end while we answer, tell: such a machine would swallow work for ever.
+void Cluster::strike(Host& h, Instant now) {
+  if (h.strikes == 0 || now - h.last_strike > lease_ * 2) {
+    h.strikes = 0;
+    h.first_strike = now;
+  }
+  h.last_strike = now;
+  if (++h.strikes < kStrikes || now - h.first_strike < lease_ / 3 || h.deaf) return;
+  h.deaf = true;
+  spdlog::info("machine {}: its reports come, but our answers do not reach it", h.id);
+}
+
+std::vector<std::string> Cluster::deaf_hosts() const {
+  std::vector<std::string> out;
+  size_t heard = 0;
+  for (const auto& [id, h] : hosts_) {
+    if (!h->heard || h->lost) continue;
+    ++heard;
+    if (h->deaf) out.push_back(id);
+  }
+  if (out.size() > std::max<size_t>(kFewDeaf, heard / 8)) out.clear();
+  return out;
+}
+
 Needs Cluster::on_exit(Host& h, const TaskReport& r, Instant now) {
   Needs needs;
   Job* j = job(r.task.job);
@@ -746,7 +793,10 @@
     const bool leaving = h->recall_at.has_value();
     if (!leaving) {
       // What waits on a machine that nothing is heard of, or that will not get it, goes elsewhere.
-      if (h->ahead == 0 || (now - h->last_heard < silent && !h->draining && !h->deleting)) continue;
+      if (h->ahead == 0 ||
+          (now - h->last_heard < silent && !h->draining && !h->deleting && !h->deaf)) {
+        continue;
+      }
       for (size_t i = h->bookings.size(); i-- > 0;) {
         if (h->bookings[i].ahead) needs |= end_booking(*h, i, now);
       }
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -85,7 +85,13 @@
   bool lost = false;  // silent beyond its lease; back only with a later session
   Instant last_heard{};
   Instant last_answered{};
-  Instant first_heard{};
+  uint64_t beat_session = 0, beat_seq = 0;  // of its last beat; direct reports may be newer
+
+  // Signs that its reports reach us and our answers do not reach it.
+  uint32_t strikes = 0;
+  Instant first_strike{};
+  Instant last_strike{};
+  bool deaf = false;
   std::optional<Instant> recall_at;
 
   // What the cloud told.
@@ -201,6 +207,8 @@
   BeatAnswer on_beat(const Beat& beat, Instant now, bool may_start, Needs& needs);
   // A report that came as the answer to a direct call: news, but no proof of what is not in it.
   Needs on_direct_report(const Beat& beat, Instant now);
+  // Machines that our answers do not reach. When they are many it is our answers that are late.
+  std::vector<std::string> deaf_hosts() const;
   // Ends the bookings of workers whose lease is certainly over.
   Needs expire(Instant now);
   // When the lease of this machine's worker is certainly over, as far as is known now.
@@ -254,6 +262,7 @@
   void break_gang(const std::string& job, uint64_t attempt, Instant now, Needs& needs);
   void stop_gang(const std::string& job, uint64_t attempt, Seconds grace, Instant now);
   void on_error(Host& h, Job* job, Instant now);
+  void strike(Host& h, Instant now);
   void promote_ahead(Host& h, Instant now);
   bool fresh(Host& h, const Beat& b) const;
   void take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs);
--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -230,8 +230,11 @@
   std::vector<std::pair<std::string, std::string>> out;
   const auto& op = domain_.op;
   domain_.picture.with([&](Picture& p) {
+    // Deleting a machine that does not hear us is the quick fence: its tasks go elsewhere at once.
+    for (const auto& id : p.cluster.deaf_hosts())
+      out.emplace_back(id, "our answers do not reach it");
     for (const auto& [id, h] : p.cluster.hosts()) {
-      if (h->deleting) continue;
+      if (h->deleting || h->deaf) continue;
       if (!h->heard) {
         // Some take several times as long; some never come up and cost until they are deleted.
         // What is booked there by a former leader ends with the deletion (the fast fence).
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -134,6 +134,10 @@
     if (!h.heard || h.lost || h.draining || h.deleting || h.listed_failed || h.recall_at) {
       return false;
     }
+    // Only a report with our baton proves that the machine is alive under us: one without may be a
+    // late copy, of a machine that was deleted long ago even. And only a machine that hears our
+    // answers can be given anything.
+    if (!h.ours || h.deaf) return false;
     return now_ - h.last_heard < to_nanos(platform_.report * 2 + Seconds(1));
   }
 
@@ -319,10 +323,8 @@
         plan_.saved[team] += j.spec().need * j.spec().tasks;
         return;
       }
-      if (!place_gang(j, false)) {
-        if (place_gang(j, true)) return;  // room is coming
-        rent_gang(w);
-      }
+      if (place_gang(j, false) || place_gang(j, true)) return;  // there, or coming
+      if (!rent_gang(w)) keep_for_gang(j);
       return;
     }
     uint32_t want = std::min(j.pending(), allowed);
@@ -452,7 +454,7 @@
       rest -= cluster_.beside_gpu() * free.gpus;
       limited = true;
     }
-    if (!s.kept_for.empty() && s.kept_for != spec.job_class) {
+    if (!s.kept_for.empty() && s.kept_for != spec.job_class && s.kept_for != spec.id) {
       rest -= s.kept;
       limited = true;
     }
@@ -739,9 +741,10 @@
     return open;
   }
 
-  void rent_gang(const Waiting& w) {
+  // Where what is missing costs least; false when there is nothing to rent.
+  bool rent_gang(const Waiting& w) {
     const JobSpec& spec = w.job->spec();
-    if (w.job->failing) return;
+    if (w.job->failing) return true;
     std::map<std::string, uint32_t> zone_free;
     for (Slot& s : slots_) {
       if (spec.need.fits_in(s.room.free()) && may_go(*w.job, s)) {
@@ -749,18 +752,76 @@
       }
     }
     const auto offers = deals(spec);
-    if (offers.empty()) return;
-    const Deal& d = offers.front();
-    uint32_t have = 0;
-    if (spec.one_zone) {
-      have = zone_free[d.offer.zone];
-    } else {
-      for (const auto& [z, n] : zone_free) have += n;
-    }
-    const uint32_t missing = spec.tasks > have ? spec.tasks - have : 1;
-    const uint32_t machines = (missing + d.slots - 1) / d.slots;
-    for (uint32_t i = 0; i < machines && !fleet_full(); ++i) (void)wish(d.offer, spec.id);
+    if (offers.empty() || fleet_full()) return false;
+    uint32_t everywhere = 0;
+    for (const auto& [z, n] : zone_free) everywhere += n;
+    const Deal* best = nullptr;
+    uint32_t machines = 0;
+    double lowest = 0;
+    for (const Deal& d : offers) {
+      const uint32_t have = spec.one_zone ? zone_free[d.offer.zone] : everywhere;
+      const uint32_t missing = spec.tasks > have ? spec.tasks - have : 1;
+      const uint32_t n = (missing + d.slots - 1) / d.slots;
+      const double cost = n * d.slots * d.price;
+      if (best && cost >= lowest) continue;
+      best = &d;
+      machines = n;
+      lowest = cost;
+    }
+    for (uint32_t i = 0; i < machines && !fleet_full(); ++i) (void)wish(best->offer, spec.id);
     (void)place_gang(*w.job, true);
+    return true;
+  }
+
+  // No room and nothing to rent: gangs do not evict, so the room that others leave is kept for this
+  // one where it will be enough first. Else single tasks take it piece by piece, and the larger the
+  // gang the longer it waits.
+  void keep_for_gang(const Job& j) {
+    const JobSpec& spec = j.spec();
+    struct Place {
+      uint32_t now = 0;    // tasks that fit at once
+      uint32_t later = 0;  // once what may be waited for is gone
+      Slot* slot = nullptr;
+    };
+    std::map<std::string, std::vector<Place>> zones;
+    for (auto& [offer, kind] : kinds_) {
+      if (!kind.type || !place_allowed(spec, offer) || !spec.need.fits_in(kind.type->size))
+        continue;
+      for (Slot* s : kind.ready) {
+        if (!s->kept_for.empty() && s->kept_for != spec.job_class) continue;
+        if (!may_use(j, *s)) continue;
+        Resources room = s->room.free();
+        for (const Booking& b : s->host->bookings) {
+          if (!b.gang && !b.ahead && b.priority <= spec.priority) room += b.need;
+        }
+        const uint32_t later = preemption::tasks_in(room, spec.need, spec.tasks);
+        if (later == 0) continue;
+        const uint32_t fits = preemption::tasks_in(s->room.free(), spec.need, spec.tasks);
+        zones[spec.one_zone ? offer.zone : std::string()].push_back({fits, later, s});
+      }
+    }
+    std::vector<Place>* best = nullptr;
+    uint32_t most = 0;
+    for (auto& [zone, places] : zones) {
+      std::stable_sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
+        return a.now != b.now ? a.now > b.now : a.later > b.later;
+      });
+      uint32_t fits = 0, later = 0;
+      for (const Place& p : places) fits += p.now, later += p.later;
+      if (later < spec.tasks || (best && fits <= most)) continue;
+      best = &places;
+      most = fits;
+    }
+    if (!best) return;
+    uint32_t left = spec.tasks;
+    for (const Place& p : *best) {
+      if (left == 0) break;
+      const uint32_t n = std::min(left, p.later);
+      p.slot->kept = spec.need * n;
+      p.slot->kept_for = spec.id;
+      plan_.wanted.push_back(p.slot->host->id);
+      left -= n;
+    }
   }
 
   // --- preemption: only when nothing can be rented, one machine, never by or of gangs
