--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -348,6 +348,29 @@
       }
     }
     for (const auto& [id, j] : p.cluster.jobs()) waiting += j->pending();
+    if (!spdlog::should_log(spdlog::level::debug)) return;
+    struct PerType {
+      size_t machines = 0;
+      Resources size, used, gangs, arrays;
+    };
+    std::map<std::string, PerType> types;
+    for (const auto& [id, h] : p.cluster.hosts()) {
+      if (!h->heard || h->lost) continue;
+      PerType& t = types[h->type];
+      ++t.machines;
+      t.size += h->size;
+      t.used += h->used;
+      for (const auto& b : h->bookings) {
+        if (!b.ahead && b.need.gpus <= 0) (b.gang ? t.gangs : t.arrays) += b.need;
+      }
+    }
+    for (const auto& [name, t] : types) {
+      spdlog::debug(
+          "{}: {} machines, {:.0f} of {:.0f} cpus, {:.0f} of {:.0f} gpus booked; work without "
+          "accelerators: gangs {:.0f} cpus, arrays {:.0f} cpus",
+          name, t.machines, t.used.cpus, t.size.cpus, t.used.gpus, t.size.gpus, t.gangs.cpus,
+          t.arrays.cpus);
+    }
   });
   spdlog::info(
       "cluster: {} of {} machines up, {:.0f} of {:.0f} cpus and {:.0f} of {:.0f} gpus booked; "
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -104,6 +104,9 @@
     ahead_span_ =
         std::clamp(static_cast<double>(slots_.size()) / (platform_.state_write_rps * kAheadWrites),
                    platform_.report.count() * 2, kMostAhead);
+    for (const auto& [id, j] : cluster_.jobs()) {
+      accelerators_wanted_ |= j->spec().need.gpus > 0 && j->pending() > 0;
+    }
     for (const auto& [name, e] : cluster_.expected()) keep_headroom(name, e);
     for (const Waiting& w : queue()) consider(w);
     for (const Slot& s : slots_) {
@@ -233,8 +236,10 @@
       if (left == 0) break;
       if (!s->kept_for.empty()) continue;
       // Machines with accelerators are dear to hold free: no more of them than the mean asks for.
-      const bool borrowed = spec.need.gpus <= 0 && s->kind->type->size.gpus > 0;
-      if (borrowed) left = std::min(left, h.mean > kept ? h.mean - kept : 0);
+      if (borrowed(spec, s->kind->type)) {
+        if (accelerators_wanted_) continue;
+        left = std::min(left, h.mean > kept ? h.mean - kept : 0);
+      }
       // What it may hold once shorter work there is done: all but what its own kind holds.
       Resources room = s->kind->type->size;
       if (s->host) {
@@ -308,6 +313,25 @@
     return q;
   }
 
+  static bool borrowed(const JobSpec& spec, const MachineType* t) {
+    return spec.need.gpus <= 0 && t && t->size.gpus > 0;
+  }
+
+  double waited(const Job& j) const {
+    return std::chrono::duration<double>(wall_ - j.submitted()).count();
+  }
+
+  // Half of the shortest time in which the job is expected to start.
+  double patience(const Waiting& w) const {
+    double within = kNoDeadline.count() / 10;
+    for (const auto& o : platform_.objectives) {
+      const bool wait = o.kind == "wait" && o.job_class == w.job->spec().job_class;
+      if (wait || (o.kind == "guarantee" && w.guaranteed))
+        within = std::min(within, o.within.count());
+    }
+    return within / 2;
+  }
+
   // --- one job
   void consider(const Waiting& w) {
     const Job& j = *w.job;
@@ -323,8 +347,14 @@
         plan_.saved[team] += j.spec().need * j.spec().tasks;
         return;
       }
-      if (place_gang(j, false) || place_gang(j, true)) return;  // there, or coming
-      if (!rent_gang(w)) keep_for_gang(j);
+      // Machines with accelerators are borrowed last: a gang's task there strands accelerators for
+      // as long as it runs. While other work waits for them, it first waits a moment for the room
+      // that short work leaves elsewhere.
+      if (place_gang(j, false, false) || place_gang(j, true, false)) return;  // there, or coming
+      if (rent_gang(w, false)) return;
+      if (accelerators_wanted_ && waited(j) < patience(w) && keep_for_gang(j, false)) return;
+      if (place_gang(j, false, true) || place_gang(j, true, true)) return;
+      if (!rent_gang(w, true)) (void)keep_for_gang(j, true);
       return;
     }
     uint32_t want = std::min(j.pending(), allowed);
@@ -507,7 +537,7 @@
     }
     if (t) {
       // A machine with accelerators is kept for work that needs them.
-      if (t->size.gpus > 0 && spec.need.gpus <= 0) cost += 40;
+      if (borrowed(spec, t)) cost += 20 + 10 * t->size.gpus;
       if (spec.spot && !s.kind->offer.spot) cost += 5;
     }
     // Filling up what is in use lets idle machines go.
@@ -516,10 +546,11 @@
     return cost;
   }
 
-  std::vector<std::pair<double, Slot*>> ranked(const Job& j, bool coming) {
+  std::vector<std::pair<double, Slot*>> ranked(const Job& j, bool coming, bool borrow = true) {
     std::vector<std::pair<double, Slot*>> out;
     for (auto& [offer, kind] : kinds_) {
       if (!place_allowed(j.spec(), offer)) continue;
+      if (!borrow && borrowed(j.spec(), kind.type)) continue;
       for (Slot* s : kind.slots(coming)) {
         if (!j.spec().need.fits_in(s->room.free()) || !may_use(j, *s)) continue;
         out.emplace_back(place_cost(j, *s), s);
@@ -620,11 +651,11 @@
 
   // All tasks or none. With `coming`, machines that are not up yet count too, and nothing is
   // placed.
-  bool place_gang(const Job& j, bool coming) {
+  bool place_gang(const Job& j, bool coming, bool borrow) {
     const JobSpec& spec = j.spec();
-    std::vector<std::pair<double, Slot*>> order = ranked(j, false);
+    std::vector<std::pair<double, Slot*>> order = ranked(j, false, borrow);
     if (coming) {
-      auto later = ranked(j, true);
+      auto later = ranked(j, true, borrow);
       order.insert(order.end(), later.begin(), later.end());
     }
     std::vector<std::string> zones;
@@ -742,11 +773,12 @@
   }
 
   // Where what is missing costs least; false when there is nothing to rent.
-  bool rent_gang(const Waiting& w) {
+  bool rent_gang(const Waiting& w, bool borrow) {
     const JobSpec& spec = w.job->spec();
     if (w.job->failing) return true;
     std::map<std::string, uint32_t> zone_free;
     for (Slot& s : slots_) {
+      if (!borrow && borrowed(spec, s.kind->type)) continue;
       if (spec.need.fits_in(s.room.free()) && may_go(*w.job, s)) {
         zone_free[s.zone()] += count_on(spec, s, spec.tasks);
       }
@@ -759,6 +791,7 @@
     uint32_t machines = 0;
     double lowest = 0;
     for (const Deal& d : offers) {
+      if (!borrow && borrowed(spec, d.type)) continue;
       const uint32_t have = spec.one_zone ? zone_free[d.offer.zone] : everywhere;
       const uint32_t missing = spec.tasks > have ? spec.tasks - have : 1;
       const uint32_t n = (missing + d.slots - 1) / d.slots;
@@ -768,15 +801,16 @@
       machines = n;
       lowest = cost;
     }
+    if (!best) return false;
     for (uint32_t i = 0; i < machines && !fleet_full(); ++i) (void)wish(best->offer, spec.id);
-    (void)place_gang(*w.job, true);
+    (void)place_gang(*w.job, true, borrow);
     return true;
   }
 
   // No room and nothing to rent: gangs do not evict, so the room that others leave is kept for this
   // one where it will be enough first. Else single tasks take it piece by piece, and the larger the
   // gang the longer it waits.
-  void keep_for_gang(const Job& j) {
+  bool keep_for_gang(const Job& j, bool borrow) {
     const JobSpec& spec = j.spec();
     struct Place {
       uint32_t now = 0;    // tasks that fit at once
@@ -787,6 +821,7 @@
     for (auto& [offer, kind] : kinds_) {
       if (!kind.type || !place_allowed(spec, offer) || !spec.need.fits_in(kind.type->size))
         continue;
+      if (!borrow && borrowed(spec, kind.type)) continue;
       for (Slot* s : kind.ready) {
         if (!s->kept_for.empty() && s->kept_for != spec.job_class) continue;
         if (!may_use(j, *s)) continue;
@@ -812,7 +847,7 @@
       best = &places;
       most = fits;
     }
-    if (!best) return;
+    if (!best) return false;
     uint32_t left = spec.tasks;
     for (const Place& p : *best) {
       if (left == 0) break;
@@ -822,6 +857,7 @@
       plan_.wanted.push_back(p.slot->host->id);
       left -= n;
     }
+    return true;
   }
 
   // --- preemption: only when nothing can be rented, one machine, never by or of gangs
@@ -952,6 +988,7 @@
   double ahead_span_ = 0;  // seconds of work that may wait on a machine
   std::map<int, uint32_t> limited_ahead_;
   size_t wished_ = 0;
+  bool accelerators_wanted_ = false;  // some task that needs them waits
   Plan plan_;
 };
 
