--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -214,17 +214,22 @@
     uint32_t left = h.wanted;
     if (left == 0) return;
     uint32_t kept = 0;
+    uint32_t there = 0;  // tasks of its kind on borrowed machines
     const JobSpec& spec = e.sample;
     std::vector<std::pair<double, Slot*>> order;
     for (Slot& s : slots_) {
       const MachineType* t = s.kind->type;
       if (!t || !place_allowed(spec, s.kind->offer) || !spec.need.fits_in(t->size)) continue;
+      if (s.host && borrowed(spec, t)) {
+        for (const Booking& b : s.host->bookings) there += b.gang && b.need.gpus <= 0 ? 1 : 0;
+      }
       // What is free now first; machines with accelerators last; those with its images before
       // others.
       double rank = 0;
       if (s.coming) rank += 30;
       if (!spec.need.fits_in(s.room.free())) rank += 20;
-      if (t->size.gpus > 0 && spec.need.gpus <= 0) rank += 50;
+      if (borrowed(spec, t))
+        rank += 25 * t->size.gpus;  // each strands what is left of its accelerators
       for (const auto& [image, at] : e.images) {
         if (!(s.host && s.host->has_image(image))) rank += 10;
       }
@@ -237,8 +242,7 @@
       if (!s->kept_for.empty()) continue;
       // Machines with accelerators are dear to hold free: no more of them than the mean asks for.
       if (borrowed(spec, s->kind->type)) {
-        if (accelerators_wanted_) continue;
-        left = std::min(left, h.mean > kept ? h.mean - kept : 0);
+        left = std::min(left, h.mean > kept + there ? h.mean - kept - there : 0);
       }
       // What it may hold once shorter work there is done: all but what its own kind holds.
       Resources room = s->kind->type->size;
@@ -321,7 +325,7 @@
     return std::chrono::duration<double>(wall_ - j.submitted()).count();
   }
 
-  // Half of the shortest time in which the job is expected to start.
+  // A quarter of the shortest time in which the job is expected to start.
   double patience(const Waiting& w) const {
     double within = kNoDeadline.count() / 10;
     for (const auto& o : platform_.objectives) {
@@ -329,7 +333,7 @@
       if (wait || (o.kind == "guarantee" && w.guaranteed))
         within = std::min(within, o.within.count());
     }
-    return within / 2;
+    return within / 4;
   }
 
   // --- one job
