--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -25,7 +25,8 @@
 constexpr double kMostAhead = 20;     // seconds of work booked ahead on a machine
 constexpr uint32_t kAheadTurns = 4;   // at most so many times what fits there
 constexpr Millis kHeadroomMemory = std::chrono::seconds(200);
-constexpr Seconds kRoomTakes{75};        // a boot and a fetch, or work there coming to its end
+constexpr Seconds kRoomTakes{75};  // a boot and a fetch, or work there coming to its end
+constexpr double kMostStranded = 1;
 constexpr double kMeanShare = 0.6;       // of the mean, on machines with accelerators
 constexpr double kHeadroomSpread = 1.0;  // beyond the mean, in square roots of it
 constexpr double kBusyFetches = 0.5;     // a second fetch shares the rate with the first
@@ -241,6 +242,7 @@
       if (left == 0) break;
       if (!s->kept_for.empty()) continue;
       // Machines with accelerators are dear to hold free: no more of them than the mean asks for.
+      if (too_dear(spec, s->kind->type)) continue;
       if (borrowed(spec, s->kind->type)) {
         left = std::min(left, h.mean > kept + there ? h.mean - kept - there : 0);
       }
@@ -321,6 +323,21 @@
     return spec.need.gpus <= 0 && t && t->size.gpus > 0;
   }
 
+  // How many accelerators of an empty machine a task that needs none would keep from use.
+  double stranded(const JobSpec& spec, const MachineType& t) const {
+    const Resources& beside = cluster_.beside_gpu();
+    if (beside.cpus <= 0 || beside.memory_gb <= 0) return 0;
+    const Resources rest = t.size - spec.need;
+    const double usable =
+        std::min(std::floor(rest.cpus / beside.cpus + Resources::kSlack),
+                 std::floor(rest.memory_gb / beside.memory_gb + Resources::kSlack));
+    return t.size.gpus - std::clamp(usable, 0.0, t.size.gpus);
+  }
+  // Not lent while accelerators are wanted: where one task costs several.
+  bool too_dear(const JobSpec& spec, const MachineType* t) const {
+    return accelerators_wanted_ && borrowed(spec, t) && stranded(spec, *t) > kMostStranded;
+  }
+
   double waited(const Job& j) const {
     return std::chrono::duration<double>(wall_ - j.submitted()).count();
   }
@@ -554,7 +571,9 @@
     std::vector<std::pair<double, Slot*>> out;
     for (auto& [offer, kind] : kinds_) {
       if (!place_allowed(j.spec(), offer)) continue;
-      if (!borrow && borrowed(j.spec(), kind.type)) continue;
+      if (borrow ? j.spec().gang && too_dear(j.spec(), kind.type) : borrowed(j.spec(), kind.type)) {
+        continue;
+      }
       for (Slot* s : kind.slots(coming)) {
         if (!j.spec().need.fits_in(s->room.free()) || !may_use(j, *s)) continue;
         out.emplace_back(place_cost(j, *s), s);
@@ -795,7 +814,7 @@
     uint32_t machines = 0;
     double lowest = 0;
     for (const Deal& d : offers) {
-      if (!borrow && borrowed(spec, d.type)) continue;
+      if (too_dear(spec, d.type) || (!borrow && borrowed(spec, d.type))) continue;
       const uint32_t have = spec.one_zone ? zone_free[d.offer.zone] : everywhere;
       const uint32_t missing = spec.tasks > have ? spec.tasks - have : 1;
       const uint32_t n = (missing + d.slots - 1) / d.slots;
@@ -825,7 +844,7 @@
     for (auto& [offer, kind] : kinds_) {
       if (!kind.type || !place_allowed(spec, offer) || !spec.need.fits_in(kind.type->size))
         continue;
-      if (!borrow && borrowed(spec, kind.type)) continue;
+      if (too_dear(spec, kind.type) || (!borrow && borrowed(spec, kind.type))) continue;
       for (Slot* s : kind.ready) {
         if (!s->kept_for.empty() && s->kept_for != spec.job_class) continue;
         if (!may_use(j, *s)) continue;
