--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -242,7 +242,7 @@
       if (left == 0) break;
       if (!s->kept_for.empty()) continue;
       // Machines with accelerators are dear to hold free: no more of them than the mean asks for.
-      if (too_dear(spec, s->kind->type)) continue;
+      if (!lent(spec, s->kind->type, Lend::cheap)) continue;
       if (borrowed(spec, s->kind->type)) {
         left = std::min(left, h.mean > kept + there ? h.mean - kept - there : 0);
       }
@@ -333,9 +333,12 @@
                  std::floor(rest.memory_gb / beside.memory_gb + Resources::kSlack));
     return t.size.gpus - std::clamp(usable, 0.0, t.size.gpus);
   }
-  // Not lent while accelerators are wanted: where one task costs several.
-  bool too_dear(const JobSpec& spec, const MachineType* t) const {
-    return accelerators_wanted_ && borrowed(spec, t) && stranded(spec, *t) > kMostStranded;
+  // Machines with accelerators, for work that needs none: not at all; where a task strands few;
+  // any.
+  enum class Lend { none, cheap, any };
+  bool lent(const JobSpec& spec, const MachineType* t, Lend lend) const {
+    if (lend == Lend::any || !borrowed(spec, t)) return true;
+    return lend == Lend::cheap && !(accelerators_wanted_ && stranded(spec, *t) > kMostStranded);
   }
 
   double waited(const Job& j) const {
@@ -370,12 +373,13 @@
       }
       // Machines with accelerators are borrowed last: a gang's task there strands accelerators for
       // as long as it runs. While other work waits for them, it first waits a moment for the room
-      // that short work leaves elsewhere.
-      if (place_gang(j, false, false) || place_gang(j, true, false)) return;  // there, or coming
-      if (rent_gang(w, false)) return;
-      if (accelerators_wanted_ && waited(j) < patience(w) && keep_for_gang(j, false)) return;
-      if (place_gang(j, false, true) || place_gang(j, true, true)) return;
-      if (!rent_gang(w, true)) (void)keep_for_gang(j, true);
+      // that short work leaves elsewhere, and for dear ones until no other room can be had.
+      for (const Lend lend : {Lend::none, Lend::cheap, Lend::any}) {
+        if (place_gang(j, false, lend) || place_gang(j, true, lend)) return;  // there, or coming
+        if (rent_gang(w, lend)) return;
+        const bool waits = lend != Lend::none || (accelerators_wanted_ && waited(j) < patience(w));
+        if (waits && keep_for_gang(j, lend)) return;
+      }
       return;
     }
     uint32_t want = std::min(j.pending(), allowed);
@@ -567,13 +571,11 @@
     return cost;
   }
 
-  std::vector<std::pair<double, Slot*>> ranked(const Job& j, bool coming, bool borrow = true) {
+  std::vector<std::pair<double, Slot*>> ranked(const Job& j, bool coming, Lend lend = Lend::any) {
     std::vector<std::pair<double, Slot*>> out;
     for (auto& [offer, kind] : kinds_) {
       if (!place_allowed(j.spec(), offer)) continue;
-      if (borrow ? j.spec().gang && too_dear(j.spec(), kind.type) : borrowed(j.spec(), kind.type)) {
-        continue;
-      }
+      if (!lent(j.spec(), kind.type, lend)) continue;
       for (Slot* s : kind.slots(coming)) {
         if (!j.spec().need.fits_in(s->room.free()) || !may_use(j, *s)) continue;
         out.emplace_back(place_cost(j, *s), s);
@@ -674,11 +676,11 @@
 
   // All tasks or none. With `coming`, machines that are not up yet count too, and nothing is
   // placed.
-  bool place_gang(const Job& j, bool coming, bool borrow) {
+  bool place_gang(const Job& j, bool coming, Lend lend) {
     const JobSpec& spec = j.spec();
-    std::vector<std::pair<double, Slot*>> order = ranked(j, false, borrow);
+    std::vector<std::pair<double, Slot*>> order = ranked(j, false, lend);
     if (coming) {
-      auto later = ranked(j, true, borrow);
+      auto later = ranked(j, true, lend);
       order.insert(order.end(), later.begin(), later.end());
     }
     std::vector<std::string> zones;
@@ -796,12 +798,12 @@
   }
 
   // Where what is missing costs least; false when there is nothing to rent.
-  bool rent_gang(const Waiting& w, bool borrow) {
+  bool rent_gang(const Waiting& w, Lend lend) {
     const JobSpec& spec = w.job->spec();
     if (w.job->failing) return true;
     std::map<std::string, uint32_t> zone_free;
     for (Slot& s : slots_) {
-      if (!borrow && borrowed(spec, s.kind->type)) continue;
+      if (!lent(spec, s.kind->type, lend)) continue;
       if (spec.need.fits_in(s.room.free()) && may_go(*w.job, s)) {
         zone_free[s.zone()] += count_on(spec, s, spec.tasks);
       }
@@ -814,7 +816,7 @@
     uint32_t machines = 0;
     double lowest = 0;
     for (const Deal& d : offers) {
-      if (too_dear(spec, d.type) || (!borrow && borrowed(spec, d.type))) continue;
+      if (!lent(spec, d.type, lend)) continue;
       const uint32_t have = spec.one_zone ? zone_free[d.offer.zone] : everywhere;
       const uint32_t missing = spec.tasks > have ? spec.tasks - have : 1;
       const uint32_t n = (missing + d.slots - 1) / d.slots;
@@ -826,14 +828,14 @@
     }
     if (!best) return false;
     for (uint32_t i = 0; i < machines && !fleet_full(); ++i) (void)wish(best->offer, spec.id);
-    (void)place_gang(*w.job, true, borrow);
+    (void)place_gang(*w.job, true, lend);
     return true;
   }
 
   // No room and nothing to rent: gangs do not evict, so the room that others leave is kept for this
   // one where it will be enough first. Else single tasks take it piece by piece, and the larger the
   // gang the longer it waits.
-  bool keep_for_gang(const Job& j, bool borrow) {
+  bool keep_for_gang(const Job& j, Lend lend) {
     const JobSpec& spec = j.spec();
     struct Place {
       uint32_t now = 0;    // tasks that fit at once
@@ -844,7 +846,7 @@
     for (auto& [offer, kind] : kinds_) {
       if (!kind.type || !place_allowed(spec, offer) || !spec.need.fits_in(kind.type->size))
         continue;
-      if (too_dear(spec, kind.type) || (!borrow && borrowed(spec, kind.type))) continue;
+      if (!lent(spec, kind.type, lend)) continue;
       for (Slot* s : kind.ready) {
         if (!s->kept_for.empty() && s->kept_for != spec.job_class) continue;
         if (!may_use(j, *s)) continue;
