--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -91,7 +91,7 @@
     if (o.kind != "wait" || o.job_class != record.spec.job_class) continue;
     Expected& e = expected_[record.spec.job_class];
     e.sample = record.spec;
-    e.within = o.within;
+    e.within = e.arrivals.empty() ? o.within : std::min(e.within, o.within);
     e.images[record.spec.image] = record.submitted;
     e.arrivals.emplace_back(record.submitted, record.spec.tasks);
     const WallTime old = record.submitted - kRecent;
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -211,6 +211,8 @@
   // Keeps room for a class with an aim for its start: on the machines chosen for it, other work of
   // no higher priority leaves that room alone, and they are not returned while they are idle.
   void keep_headroom(const std::string& name, const cluster::Expected& e) {
+    // A class that has the time to wait for new machines needs no idle ones.
+    if (e.within > kRoomTakes) return;
     const Headroom h = headroom(e);
     uint32_t left = h.wanted;
     if (left == 0) return;
@@ -497,15 +499,15 @@
     return place_allowed(j.spec(), s.kind->offer) && may_use(j, s);
   }
 
-  // How many tasks of the job fit there, up to `most`. Work without accelerators leaves to each
-  // free accelerator what its next task will need besides; else machines rented for their
+  // How many tasks of the job fit there, up to `most`. Single tasks without accelerators leave to
+  // each free accelerator what its next task will need besides; else machines rented for their
   // accelerators fill up with work that could run anywhere, and is evicted for a guarantee soon
   // after.
   uint32_t count_on(const JobSpec& spec, const Slot& s, uint32_t most) const {
     const Resources& free = s.room.free();
     Resources rest = free;
     bool limited = false;
-    if (spec.need.gpus <= 0 && free.gpus > 0 && s.kept_for != spec.job_class) {
+    if (!spec.gang && spec.need.gpus <= 0 && free.gpus > 0 && s.kept_for != spec.job_class) {
       rest -= cluster_.beside_gpu() * free.gpus;
       limited = true;
     }
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -394,5 +394,163 @@
   EXPECT_LT(wire::write_host(c.record_of(h)).size(), platform.value_bytes);
 }
 
+TEST_F(ClusterTest, AnAheadTaskStartsWithTheReportThatTellsOfTheRoom) {
+  // Found on the grown deployment: one write a task used the state service's budget up.
+  Job& j = add(job("run-000001", 2));
+  send(beat());
+  Host& h = *c.host("vm-1");
+  j.stamp = 10;
+  JobSpec big = job("run-000002", 1);
+  big.need = {8, 0, 4};
+  Job& whole = add(big);
+  const Booking first = durable(whole);
+  c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), {0, 1}, now);
+  c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), {0, 0}, now);
+  Needs n;
+  c.host_stored(h, c.record_of(h), ++stamp, n);
+  EXPECT_EQ(h.used.cpus, 8) << "what waits takes no room";
+  EXPECT_EQ(c.usage(0).used.cpus, 8);
+  EXPECT_EQ(j.pending(), 0u);
+  ASSERT_EQ(send(beat()).size(), 1u) << "the machine is full";
+  Beat b = beat();
+  b.tasks = {on(first)};
+  EXPECT_TRUE(send(b).empty());
+  // The room is there; some of it is promised to a preemptor.
+  c.set_held({{"vm-1", {5, 0, 4}}}, {});
+  b = beat();
+  b.tasks = {on(first, TaskState::exited, ExitCause::done)};
+  const auto orders = send(b);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].op, Command::Op::start);
+  EXPECT_EQ(orders[0].task.index, 1u) << "the one whose turn comes first";
+  EXPECT_EQ(h.used.cpus, 2);
+  EXPECT_EQ(c.usage(0).used.cpus, 2) << "counted from here on";
+}
+
+TEST_F(ClusterTest, AnAheadTaskRespectsItsTeamsLimit) {
+  JobSpec s = job("run-000001", 3);
+  s.team = "tiny";  // at most 4 cpus
+  Job& j = add(s);
+  send(beat());
+  Host& h = *c.host("vm-1");
+  for (int i = 0; i < 3; ++i) {
+    c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), {}, now);
+  }
+  Needs n;
+  c.host_stored(h, c.record_of(h), ++stamp, n);
+  EXPECT_EQ(send(beat()).size(), 2u);
+  // Saved up for a gang of the team: nothing more of it is given away.
+  c.set_held({}, {Resources{}, Resources{}, Resources{4, 0, 0}});
+  EXPECT_EQ(j.ahead, 1u);
+}
+
+TEST_F(ClusterTest, AnAheadTaskLeavesAMachineThatNothingIsHeardOf) {
+  Job& j = add(job("run-000001", 2));
+  send(beat());
+  Host& h = *c.host("vm-1");
+  c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), {}, now);
+  EXPECT_EQ(j.pending(), 1u);
+  now += seconds(1);
+  c.tick(now);
+  EXPECT_EQ(j.pending(), 1u);
+  now += seconds(5);
+  c.tick(now);
+  EXPECT_EQ(j.pending(), 2u) << "its run never went out, so it may go elsewhere at once";
+  EXPECT_TRUE(h.bookings.empty());
+}
+
+TEST_F(ClusterTest, ACopyOfAnAnsweredBeatIsNoSignOfLife) {
+  // Copies of reports may come seconds or more than a lease late. One kept a dead machine's
+  // bookings, because whatever was answered counted as a renewal.
+  Job& j = add(job("run-000001"));
+  send(beat());
+  const Booking& b = durable(j);
+  const Beat answered = beat();
+  send(answered);
+  Beat running = beat();
+  running.tasks = {on(b)};
+  send(running);
+  for (int i = 0; i < 20; ++i) {
+    now += seconds(1);
+    EXPECT_EQ(c.on_beat(i % 2 ? answered : running, now, true, needs).kind,
+              BeatAnswer::Kind::stale);
+    c.expire(now);
+  }
+  EXPECT_TRUE(c.host("vm-1")->lost);
+  EXPECT_EQ(booked(), 0u);
+  // And it stays lost, however many copies come.
+  EXPECT_EQ(c.on_beat(running, now, true, needs).kind, BeatAnswer::Kind::stale);
+  EXPECT_TRUE(c.host("vm-1")->lost);
+}
+
+TEST_F(ClusterTest, AMachineThatOurAnswersDoNotReachIsFoundOut) {
+  // Its reports come, so it never falls silent; whatever it is given is lost.
+  Job& j = add(job("run-000001"));
+  send(beat());
+  send(beat("vm-2"));
+  durable(j);
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_TRUE(c.deaf_hosts().empty() || i > 2);
+    send(beat());
+    now += Millis(1500);
+  }
+  EXPECT_EQ(c.deaf_hosts(), std::vector<std::string>{"vm-1"});
+  EXPECT_EQ(booked(), 1u) << "its booking ends safely only with the machine";
+  c.tick(now);
+  EXPECT_EQ(booked(), 1u);
+  c.remove_host("vm-1", now);
+  EXPECT_EQ(j.pending(), 1u);
+}
+
+TEST_F(ClusterTest, AMachineThatObeysLateIsNotTakenForDeaf) {
+  Job& j = add(job("run-000001"));
+  send(beat());
+  const Booking& b = durable(j);
+  for (int i = 0; i < 2; ++i) {
+    send(beat());
+    now += seconds(5);
+  }
+  Beat running = beat();
+  running.tasks = {on(b)};
+  send(running);
+  EXPECT_EQ(c.host("vm-1")->strikes, 0u);
+  EXPECT_TRUE(c.deaf_hosts().empty());
+}
+
+TEST_F(ClusterTest, WhenManySeemDeafItIsOurAnswersThatAreLate) {
+  // A leader that answers too late would else delete its whole cluster.
+  JobSpec s = job("run-000001", 12);
+  Job& j = add(s);
+  for (int m = 0; m < 12; ++m) {
+    const std::string vm = "vm-" + std::to_string(m);
+    send(beat(vm));
+    durable(j, vm);
+  }
+  for (int i = 0; i < 10; ++i) {
+    for (int m = 0; m < 12; ++m) send(beat("vm-" + std::to_string(m)));
+    now += Millis(1500);
+  }
+  EXPECT_TRUE(c.host("vm-3")->deaf);
+  EXPECT_TRUE(c.deaf_hosts().empty());
+}
+
+TEST_F(ClusterTest, AMachineBackWithinAFractionOfASecondHasANewSessionAndNoTasks) {
+  Job& j = add(job("run-000001"));
+  send(beat());
+  const Booking& b = durable(j);
+  send(beat());
+  Beat running = beat();
+  running.tasks = {on(b)};
+  send(running);
+  now += Millis(300);
+  ++session;
+  seq = 0;
+  send(beat());
+  EXPECT_EQ(booked(), 0u);
+  EXPECT_EQ(j.pending(), 1u);
+  EXPECT_TRUE(send(running).empty()) << "a copy from its former life";
+  EXPECT_EQ(booked(), 0u);
+}
+
 }  // namespace
 }  // namespace dunlinknot::cluster
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -305,5 +305,22 @@
   EXPECT_TRUE(plan().evictions.empty());
 }
 
+TEST_F(PreemptionTest, WorkWithinAGuaranteeIsNotGivenUpForAnothers) {
+  // Found on the grown deployment: two teams, each with work within its guarantee and more beyond,
+  // evicted one another's tasks ten times a second.
+  machine("vm-2");
+  Job& within = add("run-000001", Priority::normal, 4, 2, "blue");  // 8 of a guaranteed 8
+  Job& beyond = add("run-000002", Priority::normal, 4, 2, "blue");
+  run(within, *c.host("vm-1"));
+  run(within, *c.host("vm-1"));
+  run(beyond, *c.host("vm-2"));
+  run(beyond, *c.host("vm-2"));
+  add("run-000003", Priority::normal, 4, 2, "red");
+  const auto p = plan();
+  ASSERT_EQ(p.evictions.size(), 1u);
+  EXPECT_EQ(p.evictions[0].host, "vm-2");
+  for (const auto& v : p.evictions[0].victims) EXPECT_EQ(v.task.job, "run-000002");
+}
+
 }  // namespace
 }  // namespace dunlinknot::preemption
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -497,5 +497,138 @@
   EXPECT_EQ(s.standing("run-000001"), "cancelled");
 }
 
+TEST(Machines, OneThatHearsNothingLosesItsWorkToOthersAndIsDeleted) {
+  // Reports arrive, answers and commands do not. It swallowed its tasks for ever.
+  Site s(1);
+  s.run_for(seconds(2));
+  JobSpec j = job("run-000001", 8);
+  s.submit(j);
+  s.run_for(seconds(12));
+  ASSERT_EQ(s.workers.size(), 2u);
+  s.submit(job("run-000002", 40));
+  s.run_for(seconds(2));
+  auto& w = *s.workers.begin()->second;
+  w.drop_responses = true;
+  w.refuse_direct = true;
+  s.run_for(seconds(60));
+  EXPECT_FALSE(w.on) << "deleted";
+  s.run_for(seconds(60));
+  EXPECT_EQ(s.standing("run-000001"), "done");
+  EXPECT_EQ(s.standing("run-000002"), "done");
+  expect_rules(s);
+}
+
+TEST(Machines, LateCopiesOfReportsChangeNothing) {
+  // Of a machine that was deleted, from seconds to well over a lease late, also after a take-over.
+  Site s(3);
+  s.run_for(seconds(2));
+  s.submit(job("run-000001", 4));
+  s.run_for(seconds(12));
+  ASSERT_FALSE(s.workers.empty());
+  auto& w = *s.workers.begin()->second;
+  const std::string copy = wire::write_beat(w.report());
+  s.run_for(seconds(60));  // idle: returned
+  ASSERT_FALSE(w.on);
+  const auto send = [&](size_t node) { return s.ask(node, "POST", "/agent/beat", copy).status; };
+  EXPECT_NE(send(*s.leader()), 200);
+  s.crash(*s.leader());
+  s.run_for(seconds(8));
+  ASSERT_TRUE(s.leader());
+  (void)send(*s.leader());
+  s.submit(job("run-000002", 4), *s.leader());
+  for (int i = 0; i < 20; ++i) {
+    (void)send(*s.leader());
+    s.run_for(seconds(2));
+  }
+  EXPECT_EQ(s.standing("run-000002", *s.leader()), "done") << "nothing was given to the dead one";
+  expect_rules(s);
+}
+
+TEST(Leadership, ACandidateBackAmidItsElectionDoesNotTakeItsFormerLifesWin) {
+  // The transaction of its former life is carried out late, under a lease that it does not hold.
+  Site s(3);
+  s.run_for(seconds(2));
+  const size_t first = *s.leader();
+  const uint64_t epoch = s.daemon(first).elector().reign().epoch;
+  s.submit(job("run-000001", 8), first);
+  s.run_for(seconds(6));
+  s.state.late_by = Millis(700);
+  s.state.fate = [&](const http::Call& c) {
+    return is_commit_of(c, "leader") ? Fate::apply_late : Fate::normal;
+  };
+  s.crash(first);
+  s.run_for(Millis(3600));
+  for (size_t i = 0; i < 3; ++i) s.restart(i);  // in the middle of whatever they were about
+  s.run_for(Millis(300));
+  s.state.fate = nullptr;
+  s.run_for(seconds(12));
+  ASSERT_TRUE(s.leader());
+  size_t leaders = 0;
+  for (size_t i = 0; i < 3; ++i) leaders += s.daemon(i).elector().leading() ? 1 : 0;
+  EXPECT_EQ(leaders, 1u);
+  EXPECT_GT(s.daemon(*s.leader()).elector().reign().epoch, epoch);
+  s.run_for(seconds(60));
+  EXPECT_EQ(s.standing("run-000001", *s.leader()), "done");
+  expect_rules(s);
+}
+
+TEST(Leadership, ALeaderWithNothingLeftButItsWorkersStartsNothingAndLetsGo) {
+  // It sees neither the state service nor the other controllers (which this world never connects);
+  // its workers reach it alone. Its successor waits its window out, and no task runs twice.
+  Site s(3);
+  s.run_for(seconds(2));
+  const size_t old = *s.leader();
+  s.submit(job("run-000001", 4), old);
+  s.run_for(seconds(12));
+  for (auto& [id, w] : s.workers) w->run_time = [](const TaskRef&) { return seconds(25); };
+  s.submit(job("run-000002", 8), old);
+  s.run_for(seconds(4));
+  s.nodes[old]->cut_from_state = true;
+  for (size_t i = 0; i < 3; ++i) {
+    for (auto& [id, w] : s.workers) {
+      if (i != old) s.cut.insert({i, id});
+    }
+  }
+  s.run_for(seconds(4));
+  const size_t started = s.starts;
+  s.run_for(seconds(16));
+  EXPECT_EQ(s.starts, started);
+  s.cut.clear();
+  s.run_for(seconds(120));
+  EXPECT_EQ(s.standing("run-000002", (old + 1) % 3), "done");
+  expect_rules(s);
+}
+
+TEST(Jobs, EveryNodeAnswersAgainSoonAfterAnyMixOfTroubles) {
+  // A job about which no question is answered for 75 s counts as forgotten.
+  Site s(3);
+  s.run_for(seconds(2));
+  s.submit(job("run-000001", 4));
+  s.run_for(seconds(6));
+  for (int round = 0; round < 4; ++round) {
+    const auto n = static_cast<size_t>(round % 3);
+    s.state.outage = true;
+    s.cloud.trouble = true;
+    s.nodes[n]->cut_from_state = true;
+    s.run_for(seconds(round % 2 ? 3 : 25));
+    s.restart((n + 1) % 3);
+    s.state.end_outage();
+    s.run_for(Millis(400));
+    s.state.outage = true;
+    s.run_for(seconds(5));
+    s.state.end_outage();
+    s.cloud.trouble = false;
+    s.nodes[n]->cut_from_state = false;
+    s.run_for(seconds(15));
+    for (size_t i = 0; i < 3; ++i) {
+      EXPECT_EQ(s.ask(i, "GET", "/ready").status, 200) << "node " << i << ", round " << round;
+      EXPECT_EQ(s.ask(i, "GET", "/v1/jobs/run-000001").status, 200) << "node " << i;
+    }
+  }
+  s.run_for(seconds(60));
+  EXPECT_EQ(s.standing("run-000001", 1), "done");
+  expect_rules(s);
+}
+
 }  // namespace
 }  // namespace dunlinknot::test
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -235,5 +235,132 @@
   EXPECT_TRUE(plan().wishes.empty()) << "what is asked for counts as coming";
 }
 
+TEST_F(SchedulerTest, NoOrderLetsAJobWaitForEver) {
+  // What is late waits behind what can be in time, but with a bound; and whatever the order says,
+  // the first tasks of a job start within four minutes.
+  platform.teams[0].cpus = 0;
+  machine("vm-1");
+  JobSpec old = job("run-000009", 4);
+  old.estimate = Seconds(30);
+  old.deadline = Seconds(20);
+  add(old);
+  wall += seconds(100);
+  JobSpec s = job("run-000001", 4);
+  s.estimate = Seconds(30);
+  s.deadline = Seconds(200);
+  s.priority = Priority::high;
+  add(s);
+  auto p = plan();
+  ASSERT_EQ(p.placements.size(), 1u);
+  EXPECT_EQ(p.placements[0].job, "run-000001");
+  wall += seconds(30);
+  p = plan();
+  ASSERT_EQ(p.placements.size(), 1u);
+  EXPECT_EQ(p.placements[0].job, "run-000009") << "nothing of it has started for long";
+}
+
+TEST_F(SchedulerTest, AJobThatIsLateForLongIsBroughtToItsEnd) {
+  platform.teams[0].cpus = 0;
+  Host& h = machine("vm-1");
+  JobSpec old = job("run-000009", 5);
+  old.estimate = Seconds(30);
+  old.deadline = Seconds(20);
+  Job& j = add(old);
+  run(j, h);  // it has begun
+  wall += seconds(200);
+  JobSpec s = job("run-000001", 4);
+  s.estimate = Seconds(30);
+  s.deadline = Seconds(500);
+  add(s);
+  EXPECT_EQ(plan().placements[0].job, "run-000001");
+  wall += seconds(100);
+  EXPECT_EQ(plan().placements[0].job, "run-000009");
+}
+
+TEST_F(SchedulerTest, TheRoomThatOthersLeaveIsKeptForAGangThatWaits) {
+  // Gangs do not evict: single tasks took each freed place, and the larger the gang the longer it
+  // waited.
+  Host& a = machine("vm-1");
+  Host& b = machine("vm-2");
+  JobSpec small = job("run-000001", 100);
+  small.estimate = Seconds(30);
+  small.image = "img-2";
+  Job& j = add(small);
+  for (int i = 0; i < 4; ++i) run(j, b);
+  for (int i = 0; i < 2; ++i) run(j, a);  // 4 of 8 cpus are free
+  JobSpec g = job("run-000002", 2);
+  g.gang = true;
+  g.one_zone = true;
+  g.priority = Priority::high;
+  g.need = {8, 0, 4};
+  add(g);
+  const Plan p = plan();
+  EXPECT_TRUE(p.gangs.empty());
+  EXPECT_TRUE(p.placements.empty()) << "the free half of vm-1 is the gang's";
+  EXPECT_TRUE(p.ahead.empty());
+  EXPECT_EQ(p.held.count("vm-1") + p.held.count("vm-2"), 2u) << "ahead tasks leave it too";
+}
+
+TEST_F(SchedulerTest, AGangBorrowsAcceleratorMachinesLast) {
+  // Found on the grown deployment: gangs stood on accelerator machines, half of the accelerators
+  // stood idle, and a third of the work that needed them came too late.
+  machine("vm-1", "a", "rig");
+  machine("vm-2", "a", "rig");
+  JobSpec gpu = job("run-000009", 40);
+  gpu.need = {4, 1, 4};
+  gpu.priority = Priority::low;
+  add(gpu);
+  JobSpec g = job("run-000001", 2);
+  g.gang = true;
+  g.priority = Priority::high;
+  g.need = {6, 0, 4};
+  add(g);
+  market.refused.erase({"box", "a", false});
+  Plan p = plan();
+  EXPECT_TRUE(p.gangs.empty());
+  ASSERT_FALSE(p.wishes.empty());
+  EXPECT_EQ(p.wishes[0].offer.type, "box");
+  none_to_rent();
+  EXPECT_EQ(plan().gangs.size(), 1u) << "nothing else is to be had";
+}
+
+TEST_F(SchedulerTest, TasksAreBookedAheadOnFullMachinesThatHaveTheImage) {
+  Host& h = machine("vm-1");
+  Job& j = add(job("run-000001", 100));
+  for (int i = 0; i < 4; ++i) run(j, h);
+  Plan p = plan();
+  EXPECT_TRUE(p.placements.empty());
+  ASSERT_EQ(p.ahead.size(), 1u);
+  EXPECT_EQ(p.ahead[0].host, "vm-1");
+  const uint32_t count = p.ahead[0].count;
+  EXPECT_GE(count, 1u);
+  EXPECT_LE(count, 16u) << "some seconds of work, no more";
+  for (uint32_t i = 0; i < count; ++i) {
+    c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), p.ahead[0].turn, now);
+  }
+  EXPECT_TRUE(plan().ahead.empty()) << "filled up when half of it is gone";
+}
+
+TEST_F(SchedulerTest, AReportWithoutOurBatonMayBeALateCopy) {
+  // After a take-over nothing is known of a machine's last report, nor of what was deleted: a copy
+  // of an old report must not bring a machine back to life.
+  Beat b;
+  b.machine = "vm-1";
+  b.address = "10.0.0.1:9000";
+  b.type = "box";
+  b.zone = "a";
+  b.session = 1;
+  b.seq = 7;
+  b.token = 0;
+  Needs needs;
+  c.on_beat(b, now, true, needs);
+  add(job("run-000001"));
+  EXPECT_TRUE(plan().placements.empty());
+  b.seq = 8;
+  b.token = 1;
+  c.on_beat(b, now, true, needs);
+  EXPECT_EQ(plan().placements.size(), 1u);
+}
+
 }  // namespace
 }  // namespace dunlinknot::scheduler
