--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -51,6 +51,7 @@
   jobs_.clear();
   hosts_.clear();
   holders_.clear();
+  expected_.clear();  // the jobs still open are loaded anew
   dirty_hosts_.clear();
   held_hosts_.clear();
   saved_.clear();
@@ -87,11 +88,17 @@
     seen(beside_gpu_.cpus, need.cpus / need.gpus);
     seen(beside_gpu_.memory_gb, need.memory_gb / need.gpus);
   }
+  // The shortest of the class's aims for its start; each job is counted once, however many there
+  // are.
+  std::optional<Seconds> within;
   for (const auto& o : platform_.objectives) {
     if (o.kind != "wait" || o.job_class != record.spec.job_class) continue;
+    within = within ? std::min(*within, o.within) : o.within;
+  }
+  if (within) {
     Expected& e = expected_[record.spec.job_class];
     e.sample = record.spec;
-    e.within = e.arrivals.empty() ? o.within : std::min(e.within, o.within);
+    e.within = *within;
     e.images[record.spec.image] = record.submitted;
     e.arrivals.emplace_back(record.submitted, record.spec.tasks);
     const WallTime old = record.submitted - kRecent;
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -202,6 +202,21 @@
   EXPECT_EQ(plan().gangs.size(), 1u);
 }
 
+TEST_F(SchedulerTest, HeadroomCountsEachArrivalOnce) {
+  // Found on the grown deployment: a class with two aims for its start was counted twice, and a
+  // node that led a second time counted the open jobs once more.
+  platform.objectives.push_back({"wait", "quick", Seconds(10), 0.9, 1});
+  platform.objectives.push_back({"wait", "quick", Seconds(50), 0.97, 1});
+  JobSpec q = job("run-000001", 3);
+  q.job_class = "quick";
+  add(q);
+  EXPECT_EQ(c.expected().at("quick").arrivals.size(), 1u);
+  EXPECT_EQ(c.expected().at("quick").within, Seconds(10));
+  c.begin_reign(2, now);
+  add(q);
+  EXPECT_EQ(c.expected().at("quick").arrivals.size(), 1u);
+}
+
 TEST_F(SchedulerTest, WhatIsLateAnywayWaitsBehindWhatCanBeInTime) {
   // Found on a day with more work than machines: by due time alone, every job ended too late.
   platform.teams[0].cpus = 0;  // no guarantee comes first here
