--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -28,7 +28,7 @@
 constexpr Seconds kRoomTakes{75};  // a boot and a fetch, or work there coming to its end
 constexpr double kMostStranded = 1;
 constexpr double kMeanShare = 0.6;       // of the mean, on machines with accelerators
-constexpr double kHeadroomSpread = 1.0;  // beyond the mean, in square roots of it
+constexpr double kHeadroomSpread = 1.0;  // beyond the mean, in standard deviations
 constexpr double kBusyFetches = 0.5;     // a second fetch shares the rate with the first
 
 bool type_allowed(const JobSpec& s, std::string_view type) {
@@ -72,6 +72,7 @@
   const Kind* kind;
   bool coming = false;
   std::vector<std::string_view> fetching;  // images that tasks there are waiting for
+  bool gang_fetches = false;               // a whole gang waits for the slowest of its fetches
   Resources kept;                          // headroom for a class that is expected to start at once
   std::string_view kept_for;
   std::optional<size_t> record_room;  // bytes left in its record
@@ -153,7 +154,9 @@
       Slot& s = add_slot(h.get(), *h, {h->type, h->zone, h->spot}, coming);
       s.ahead = h->ahead;
       for (const Booking& b : h->bookings) {
-        if (b.state == TaskState::fetching && !b.image.empty()) s.fetching.push_back(b.image);
+        if (b.ahead || b.state != TaskState::fetching || b.image.empty()) continue;
+        s.fetching.push_back(b.image);
+        s.gang_fetches |= b.gang;
       }
     }
     for (const auto& [offer, n] : market_.pending) {
@@ -195,16 +198,19 @@
   };
   Headroom headroom(const cluster::Expected& e) const {
     double tasks = 0;
+    double squares = 0;  // a few large jobs vary more than many small ones
     WallTime first = wall_;
     for (const auto& [at, n] : e.arrivals) {
       if (wall_ - at > kHeadroomMemory) continue;
       tasks += n;
+      squares += static_cast<double>(n) * n;
       first = std::min(first, at);
     }
     if (tasks <= 0) return {};
     const double span = std::max(60.0, std::chrono::duration<double>(wall_ - first).count());
     const double coming = tasks / span * kRoomTakes.count();
-    return {static_cast<uint32_t>(std::ceil(coming + std::sqrt(coming) * kHeadroomSpread)),
+    const double spread = std::sqrt(squares / span * kRoomTakes.count());
+    return {static_cast<uint32_t>(std::ceil(coming + spread * kHeadroomSpread)),
             static_cast<uint32_t>(std::ceil(coming * kMeanShare))};
   }
 
@@ -600,6 +606,8 @@
     if (zoned) zones = zones_in_use(j);
     for (const auto& [cost, s] : ranked(j, false)) {
       if (placed == want || cost > most) break;
+      // A second image would halve the rate at which the gang's comes.
+      if (s->gang_fetches && !s->host->has_image(spec.image)) continue;
       uint32_t n = count_on(spec, *s, want - placed);
       if (n == 0) continue;
       if (zoned) n = std::min(n, zone_allows(spec, zones, s->zone()));
@@ -723,6 +731,7 @@
       s->room.take(spec.need * n);
       if (s->host && !s->coming) {
         s->fetching.push_back(spec.image);
+        s->gang_fetches = true;
         take_record(*s, n);
         g.on.emplace_back(s->host->id, n);
         plan_.wanted.push_back(s->host->id);
