--- a/src/dunlinknot/jobs/desk.cpp
+++ b/src/dunlinknot/jobs/desk.cpp
@@ -171,7 +171,7 @@
     found.final = *f;
     co_return standing_of(*id, found, false);
   }
-  if (submitting_ >= op_.max_submissions || !state_.has_room(4, 4)) co_return later();
+  if (submitting_ >= op_.max_submissions || !state_.has_room_for_users(2)) co_return later();
   const InFlight in_flight(submitting_);
   const Instant deadline = loop_.now() + kSubmitTime;
 
@@ -200,7 +200,7 @@
     txn.guards.push_back({wire::final_key(*id), 0});
     txn.writes.push_back({wire::job_key(*id), record, 0});
     const Nanos within = std::min<Nanos>(kTryTime, deadline - loop_.now());
-    state::TxnResult r = co_await state_.commit(std::move(txn), within);
+    state::TxnResult r = co_await state_.commit(std::move(txn), within, state::Importance::user);
     if (r.outcome == Outcome::refused) co_return later();
     if (r.outcome != Outcome::ok) continue;  // the same again: the guards make that harmless
     if (r.applied) {
@@ -247,7 +247,7 @@
     txn.writes.push_back({wire::final_key(id), wire::write_final({true, found.tasks}), 0});
     txn.writes.push_back({wire::job_key(id), "", 0});
     const Nanos within = std::min<Nanos>(kTryTime, deadline - loop_.now());
-    state::TxnResult r = co_await state_.commit(std::move(txn), within);
+    state::TxnResult r = co_await state_.commit(std::move(txn), within, state::Importance::user);
     if (r.outcome == Outcome::refused) break;
     if (r.outcome == Outcome::ok && r.applied) finals_.put(id, {true, found.tasks});
     // Applied, overtaken or unknown: what stands now is the answer.
--- a/src/dunlinknot/state/client.cpp
+++ b/src/dunlinknot/state/client.cpp
@@ -12,6 +12,7 @@
 using wire::View;
 using wire::Writer;
 
+constexpr double kUserShare = 0.5;  // of the writes
 constexpr size_t kListBody = 600 * 1024;
 constexpr size_t kWatchBody = 4 * 1024 * 1024;
 
@@ -46,11 +47,12 @@
       transport_(transport),
       at_(at),
       requests_(rps, rps),
-      writes_(write_rps, write_rps) {}
+      writes_(write_rps, write_rps),
+      user_writes_(write_rps * kUserShare, write_rps * kUserShare) {}
 
-bool Client::has_room(double requests, double writes) {
+bool Client::has_room_for_users(double writes) {
   const Instant now = loop_.now();
-  return requests_.level(now) >= requests && writes_.level(now) >= writes;
+  return requests_.level(now) >= 2 && user_writes_.level(now) >= writes;
 }
 
 Task<http::Reply> Client::call(std::string method, std::string target, std::string body,
@@ -60,7 +62,9 @@
     requests_.force(sent);
     if (writes > 0) writes_.force(sent, writes);
   } else {
-    if (requests_.level(sent) < 1 || (writes > 0 && writes_.level(sent) < std::min(writes, 10.0))) {
+    const bool user = how == Importance::user;
+    const double level = user ? user_writes_.level(sent) : writes_.level(sent);
+    if (requests_.level(sent) < 1 || (writes > 0 && level < std::min(writes, 10.0))) {
       ++throttled_;
       http::Reply refused;
       refused.outcome = Outcome::refused;
@@ -69,6 +73,7 @@
     }
     requests_.force(sent);
     if (writes > 0) writes_.force(sent, writes);
+    if (user) user_writes_.force(sent, writes);
   }
   http::Call c;
   c.to = at_;
--- a/src/dunlinknot/state/client.hpp
+++ b/src/dunlinknot/state/client.hpp
@@ -84,7 +84,9 @@
 };
 
 // How a call may use the budget. `essential` calls (leases, leadership) go through in any case.
-enum class Importance { normal, essential };
+// `user` calls (submissions, cancellations) have a share of their own, which the ledger's writes do
+// not use up.
+enum class Importance { normal, user, essential };
 
 class Client {
  public:
@@ -103,8 +105,8 @@
   Instant last_served() const { return last_served_; }
   Instant last_served_sent() const { return last_served_sent_; }
   uint64_t throttled() const { return throttled_; }
-  // Room for API calls: leaves the last part of the budget to the leader's own work.
-  bool has_room(double requests, double writes);
+  // Room for what users ask for: half of the writes, whatever the leader's own work takes.
+  bool has_room_for_users(double writes);
   // How long until the budget allows so many writes.
   Nanos writes_in(double writes) { return writes_.until(loop_.now(), writes); }
   double write_burst() const { return writes_.burst(); }
@@ -119,6 +121,7 @@
   http::Endpoint at_;
   Budget requests_;
   Budget writes_;
+  Budget user_writes_;
   bool ever_served_ = false;
   Instant last_served_{};
   Instant last_served_sent_{};
