--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -133,7 +133,7 @@
       b.team = team_index(g.team);
       b.need = g.need;
       b.gang = g.gang;
-      if (j) b.image = j->spec().image;
+      if (j) b.image = j->spec().image, b.estimate = j->spec().estimate;
       b.priority = j ? j->spec().priority : Priority::low;
       b.phase = Phase::inherited;
       b.placed_at = now;
@@ -328,6 +328,7 @@
   b.team_name = j.spec().team;
   b.need = j.spec().need;
   b.image = j.spec().image;
+  b.estimate = j.spec().estimate;
   b.gang = j.spec().gang;
   b.priority = j.spec().priority;
   b.placed_at = now;
@@ -614,6 +615,7 @@
         stray.team_name = j->spec().team;
         stray.need = j->spec().need;
         stray.image = j->spec().image;
+        stray.estimate = j->spec().estimate;
         stray.gang = j->spec().gang;
         stray.priority = j->spec().priority;
       }
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -43,6 +43,7 @@
   std::string team_name;
   Resources need;
   std::string image;
+  Seconds estimate{0};
   bool gang = false;
   Priority priority = Priority::low;
   Phase phase = Phase::planned;
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -843,55 +843,66 @@
     return true;
   }
 
+  // Seconds until the task ends, as its owner reckons; what runs over may end at any time.
+  double ends_in(const Booking& b) const {
+    const double run = std::max(1.0, b.estimate.count());
+    if (b.running_since == Instant{}) return run * 1.5;
+    const double ran = to_seconds(now_ - b.running_since).count();
+    return ran < run ? run - ran : run / 4;
+  }
+
   // No room and nothing to rent: gangs do not evict, so the room that others leave is kept for this
   // one where it will be enough first. Else single tasks take it piece by piece, and the larger the
   // gang the longer it waits.
   bool keep_for_gang(const Job& j, Lend lend) {
     const JobSpec& spec = j.spec();
     struct Place {
-      uint32_t now = 0;    // tasks that fit at once
-      uint32_t later = 0;  // once what may be waited for is gone
+      double in = 0;  // seconds until this task has room there, by the estimates
       Slot* slot = nullptr;
     };
     std::map<std::string, std::vector<Place>> zones;
     for (auto& [offer, kind] : kinds_) {
-      if (!kind.type || !place_allowed(spec, offer) || !spec.need.fits_in(kind.type->size))
-        continue;
-      if (!lent(spec, kind.type, lend)) continue;
+      if (!kind.type || !place_allowed(spec, offer) || !lent(spec, kind.type, lend)) continue;
+      if (!spec.need.fits_in(kind.type->size)) continue;
+      auto& places = zones[spec.one_zone ? offer.zone : std::string()];
       for (Slot* s : kind.ready) {
         if (!s->kept_for.empty() && s->kept_for != spec.job_class) continue;
         if (!may_use(j, *s)) continue;
-        Resources room = s->room.free();
+        std::vector<std::pair<double, const Booking*>> ends;
         for (const Booking& b : s->host->bookings) {
-          if (!b.gang && !b.ahead && b.priority <= spec.priority) room += b.need;
+          if (!b.gang && !b.ahead && b.priority <= spec.priority) ends.emplace_back(ends_in(b), &b);
+        }
+        std::sort(ends.begin(), ends.end());
+        Resources room = s->room.free();
+        double in = 0;
+        uint32_t n = preemption::tasks_in(room, spec.need, spec.tasks);
+        places.insert(places.end(), n, Place{in, s});
+        for (const auto& [t, b] : ends) {
+          room += b->need;
+          in = t;
+          for (; preemption::tasks_in(room, spec.need, spec.tasks) > n; ++n)
+            places.push_back({in, s});
         }
-        const uint32_t later = preemption::tasks_in(room, spec.need, spec.tasks);
-        if (later == 0) continue;
-        const uint32_t fits = preemption::tasks_in(s->room.free(), spec.need, spec.tasks);
-        zones[spec.one_zone ? offer.zone : std::string()].push_back({fits, later, s});
       }
     }
     std::vector<Place>* best = nullptr;
-    uint32_t most = 0;
+    double soonest = 0;
     for (auto& [zone, places] : zones) {
-      std::stable_sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
-        return a.now != b.now ? a.now > b.now : a.later > b.later;
-      });
-      uint32_t fits = 0, later = 0;
-      for (const Place& p : places) fits += p.now, later += p.later;
-      if (later < spec.tasks || (best && fits <= most)) continue;
+      if (places.size() < spec.tasks) continue;
+      std::stable_sort(places.begin(), places.end(),
+                       [](const Place& a, const Place& b) { return a.in < b.in; });
+      const double all_in = places[spec.tasks - 1].in;
+      if (best && all_in >= soonest) continue;
       best = &places;
-      most = fits;
+      soonest = all_in;
     }
     if (!best) return false;
-    uint32_t left = spec.tasks;
-    for (const Place& p : *best) {
-      if (left == 0) break;
-      const uint32_t n = std::min(left, p.later);
-      p.slot->kept = spec.need * n;
-      p.slot->kept_for = spec.id;
-      plan_.wanted.push_back(p.slot->host->id);
-      left -= n;
+    for (uint32_t i = 0; i < spec.tasks; ++i) {
+      Slot* s = (*best)[i].slot;
+      if (s->kept_for != spec.id) s->kept = Resources{};
+      s->kept += spec.need;
+      s->kept_for = spec.id;
+      plan_.wanted.push_back(s->host->id);
     }
     return true;
   }
