--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -27,6 +27,8 @@
 constexpr Millis kHeadroomMemory = std::chrono::seconds(200);
 constexpr Seconds kRoomTakes{75};  // a boot and a fetch, or work there coming to its end
 constexpr double kMostStranded = 1;
+constexpr double kPatience = 0.25;       // of the time for its start a gang waits for cheaper room
+constexpr uint32_t kFirstShare = 16;     // an overdue job begins with one in so many of its tasks
 constexpr double kMeanShare = 0.6;       // of the mean, on machines with accelerators
 constexpr double kHeadroomSpread = 1.0;  // beyond the mean, in standard deviations
 constexpr double kBusyFetches = 0.5;     // a second fetch shares the rate with the first
@@ -353,15 +355,25 @@
     return std::chrono::duration<double>(wall_ - j.submitted()).count();
   }
 
-  // A quarter of the shortest time in which the job is expected to start.
-  double patience(const Waiting& w) const {
+  // The shortest time in which the job is expected to start.
+  double start_within(const Waiting& w) const {
     double within = kNoDeadline.count() / 10;
     for (const auto& o : platform_.objectives) {
       const bool wait = o.kind == "wait" && o.job_class == w.job->spec().job_class;
       if (wait || (o.kind == "guarantee" && w.guaranteed))
         within = std::min(within, o.within.count());
     }
-    return within / 4;
+    return within;
+  }
+
+  // Until a machine of a kind that may be used is up, were it rented now.
+  double soonest_boot(const JobSpec& spec, Lend lend) const {
+    double soonest = std::numeric_limits<double>::max();
+    for (const MachineType& t : cluster_.catalog()) {
+      if (!type_allowed(spec, t.name) || !spec.need.fits_in(t.size)) continue;
+      if (lent(spec, &t, lend)) soonest = std::min(soonest, t.boot.count());
+    }
+    return soonest;
   }
 
   // --- one job
@@ -382,15 +394,24 @@
       // Machines with accelerators are borrowed last: a gang's task there strands accelerators for
       // as long as it runs. While other work waits for them, it first waits a moment for the room
       // that short work leaves elsewhere, and for dear ones until no other room can be had.
+      // It waits for a machine to come up only where that is in time for its start, or too late in
+      // any case.
+      const double within = start_within(w);
+      const double left = within - waited(j);
       for (const Lend lend : {Lend::none, Lend::cheap, Lend::any}) {
-        if (place_gang(j, false, lend) || place_gang(j, true, lend)) return;  // there, or coming
-        if (rent_gang(w, lend)) return;
-        const bool waits = lend != Lend::none || (accelerators_wanted_ && waited(j) < patience(w));
+        if (place_gang(j, false, lend)) return;
+        const bool last = lend == Lend::any;
+        const double boot = last || left <= 0 ? 0 : soonest_boot(j.spec(), lend);
+        if (boot < std::max(left, 0.1) && (place_gang(j, true, lend) || rent_gang(w, lend))) return;
+        const bool waits =
+            lend != Lend::none || (accelerators_wanted_ && waited(j) < within * kPatience);
         if (waits && keep_for_gang(j, lend)) return;
       }
       return;
     }
     uint32_t want = std::min(j.pending(), allowed);
+    // What went first because nothing of it was started begins; the rest has its ordinary turn.
+    if (w.overdue && j.done_count() == 0) want = std::min(want, j.spec().tasks / kFirstShare + 1);
     std::vector<uint64_t> own = nominations_.of(j.spec().id);
     uint32_t open = 0;
     uint32_t placed = 0;
