An idle node stays ready; nothing is booked ahead where the writes suffice

A follower that nobody asked anything for 2.5 s took its own silence for a loss of the state service and was taken off the load balancer, for longer each time. Ruled out: renting by turns, the idle time, processor time.

--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -17,7 +17,9 @@
 constexpr int kRoundRest = 3;  // times what the last round took
 constexpr auto kNoBeats = std::chrono::seconds(5);
 constexpr auto kStateSilent = Millis(2500);
-constexpr double kBudgetShare = 0.85;  // of the state service's limits, for one node
+constexpr auto kStateIdle = Millis(700);
+constexpr auto kProbeTime = Millis(600);  // the load balancer waits 1 s
+constexpr double kBudgetShare = 0.85;     // of the state service's limits, for one node
 
 }  // namespace
 
@@ -81,7 +83,7 @@
     if (post) co_return co_await workers_.beat(std::move(request.body));
     out.status = 405;
   } else if (path == "/ready") {
-    out.status = !get ? 405 : ready() ? 200 : 503;
+    out.status = !get ? 405 : co_await ready() ? 200 : 503;
     if (out.status == 503) out.retry_after_s = 1;
   } else if (path == "/v1/jobs") {
     if (post) co_return co_await jobs_.submit(std::move(request.body));
@@ -106,10 +108,16 @@
 
 // Not ready: machine types unknown yet, or the state service serves our peers but not us. When it
 // serves nobody, being taken off the load balancer would only cost time afterwards.
-bool Daemon::ready() const {
-  if (!jobs_.catalog_known() || !state_.ever_served()) return false;
-  if (loop_.now() - state_.last_served() < kStateSilent) return true;
-  return !peers_.any_served();
+Task<bool> Daemon::ready() {
+  if (!jobs_.catalog_known() || !state_.ever_served()) co_return false;
+  if (loop_.now() - state_.last_served() > kStateIdle) {
+    // A node that nobody asked anything for a while has not heard of the state service either: that
+    // is no sign of trouble, and is found out before it is taken for one.
+    (void)co_await state_.get(std::string(wire::kLeaderKey), kProbeTime,
+                              state::Importance::essential);
+  }
+  if (loop_.now() - state_.last_served() < kStateSilent) co_return true;
+  co_return !peers_.any_served();
 }
 
 wire::peer::Status Daemon::status() const {
--- a/src/dunlinknot/node/daemon.hpp
+++ b/src/dunlinknot/node/daemon.hpp
@@ -37,7 +37,7 @@
   Task<void> keep_catalog(uint64_t reign);
   Task<void> report_counts();
   void report_cluster();
-  bool ready() const;
+  Task<bool> ready();
   wire::peer::Status status() const;
   wire::peer::Progress progress();
 
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -105,9 +105,10 @@
     }
     given_up_.resize(usage_.size());
     plan_.saved.resize(usage_.size());
-    ahead_span_ =
-        std::clamp(static_cast<double>(slots_.size()) / (platform_.state_write_rps * kAheadWrites),
-                   platform_.report.count() * 2, kMostAhead);
+    // So much work ahead that the state service's writes suffice for the bookings. Where they
+    // suffice for one task at a time, every freed place goes to whatever is due first.
+    ahead_span_ = static_cast<double>(slots_.size()) / (platform_.state_write_rps * kAheadWrites);
+    ahead_span_ = ahead_span_ < platform_.report.count() ? 0 : std::min(ahead_span_, kMostAhead);
     for (const auto& [id, j] : cluster_.jobs()) {
       accelerators_wanted_ |= j->spec().need.gpus > 0 && j->pending() > 0;
     }
@@ -252,7 +253,6 @@
       if (left == 0) break;
       if (!s->kept_for.empty()) continue;
       // Machines with accelerators are dear to hold free: no more of them than the mean asks for.
-      if (!lent(spec, s->kind->type, Lend::cheap)) continue;
       if (borrowed(spec, s->kind->type)) {
         left = std::min(left, h.mean > kept + there ? h.mean - kept - there : 0);
       }
@@ -438,7 +438,9 @@
   // down is spent on many at a time, and that a task that ends is followed at once.
   void place_ahead(const Waiting& w, uint32_t n) {
     const JobSpec& spec = w.job->spec();
-    if (n == 0 || w.job->failing || spec.service || spec.one_zone || spec.spread) return;
+    if (n == 0 || ahead_span_ <= 0 || w.job->failing || spec.service || spec.one_zone ||
+        spec.spread)
+      return;
     const cluster::Turn mine = absolute(w.turn());
     const double run = std::max(1.0, spec.estimate.count());
     const auto& team = cluster_.teams()[static_cast<size_t>(w.job->team())];
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -599,6 +599,23 @@
   expect_rules(s);
 }
 
+TEST(Api, AnIdleNodeStaysReady) {
+  // Found on a rough day: a follower that no user asked anything for some seconds took its own
+  // silence for a loss of the state service, was taken off the load balancer again and again, and
+  // its users found no node.
+  Site s(3);
+  s.run_for(seconds(3));
+  const size_t follower = (*s.leader() + 1) % 3;
+  s.run_for(seconds(4));
+  const uint64_t before = s.state.requests;
+  EXPECT_EQ(s.ask(follower, "GET", "/ready").status, 200);
+  const uint64_t asked = s.state.requests - before;
+  EXPECT_GE(asked, 1u) << "it finds out rather than guess";
+  const uint64_t again = s.state.requests;
+  EXPECT_EQ(s.ask(follower, "GET", "/ready").status, 200);
+  EXPECT_LT(s.state.requests - again, asked + 1) << "and not at every probe";
+}
+
 TEST(Jobs, EveryNodeAnswersAgainSoonAfterAnyMixOfTroubles) {
   // A job about which no question is answered for 75 s counts as forgotten.
   Site s(3);
