--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -26,6 +26,7 @@
 constexpr uint32_t kAheadTurns = 4;   // at most so many times what fits there
 constexpr Millis kHeadroomMemory = std::chrono::seconds(200);
 constexpr Seconds kRoomTakes{75};  // a boot and a fetch, or work there coming to its end
+constexpr size_t kMostHeld = 3;    // overdue gangs that room is kept for at a time
 constexpr double kMostStranded = 1;
 constexpr double kPatience = 0.25;       // of the time for its start a gang waits for cheaper room
 constexpr uint32_t kFirstShare = 16;     // an overdue job begins with one in so many of its tasks
@@ -113,7 +114,13 @@
       accelerators_wanted_ |= j->spec().need.gpus > 0 && j->pending() > 0;
     }
     for (const auto& [name, e] : cluster_.expected()) keep_headroom(name, e);
-    for (const Waiting& w : queue()) consider(w);
+    const std::vector<Waiting> waiting = queue();
+    size_t kept = 0;
+    for (const Waiting& w : waiting) {
+      if (kept == kMostHeld) break;
+      if (w.overdue && w.job->spec().gang && !w.job->any_live()) kept += hold_overdue(w) ? 1 : 0;
+    }
+    for (const Waiting& w : waiting) consider(w);
     for (const Slot& s : slots_) {
       if (!s.host) continue;
       Resources held = s.room.held();
@@ -376,9 +383,24 @@
     return soonest;
   }
 
+  // A gang that waits for longer than any order may ask of it has its room, and what its team's
+  // limit lacks, kept before anything else is placed: work that is ahead of it in the queue, and
+  // single tasks that always are, would else take each place as it comes free.
+  bool hold_overdue(const Waiting& w) {
+    const Job& j = *w.job;
+    const auto team = static_cast<size_t>(j.team());
+    const uint32_t allowed = tasks_below_limit(cluster_.teams()[team], usage_[team], j.spec().need);
+    if (allowed >= j.spec().tasks && place_gang(j, false, Lend::any)) {
+      overdue_placed_.insert(&j);
+      return false;
+    }
+    return keep_for_gang(j, Lend::any);
+  }
+
   // --- one job
   void consider(const Waiting& w) {
     const Job& j = *w.job;
+    if (overdue_placed_.contains(&j)) return;
     const auto team = static_cast<size_t>(j.team());
     const uint32_t allowed = tasks_below_limit(cluster_.teams()[team], usage_[team], j.spec().need);
     plan_.waiting_tasks += j.pending();
@@ -879,6 +901,7 @@
   // gang the longer it waits.
   bool keep_for_gang(const Job& j, Lend lend) {
     const JobSpec& spec = j.spec();
+    if (kept_gangs_.contains(&j)) return true;
     struct Place {
       double in = 0;  // seconds until this task has room there, by the estimates
       Slot* slot = nullptr;
@@ -893,7 +916,7 @@
         if (!may_use(j, *s)) continue;
         std::vector<std::pair<double, const Booking*>> ends;
         for (const Booking& b : s->host->bookings) {
-          if (!b.gang && !b.ahead && b.priority <= spec.priority) ends.emplace_back(ends_in(b), &b);
+          if (!b.gang && !b.ahead) ends.emplace_back(ends_in(b), &b);
         }
         std::sort(ends.begin(), ends.end());
         Resources room = s->room.free();
@@ -927,6 +950,7 @@
       s->kept_for = spec.id;
       plan_.wanted.push_back(s->host->id);
     }
+    kept_gangs_.insert(&j);
     return true;
   }
 
@@ -1055,7 +1079,9 @@
   using Shape = std::tuple<int, bool, bool, Priority, double, double, double,
                            std::vector<std::string>, std::string>;
   std::set<Shape> hopeless_;
-  double ahead_span_ = 0;  // seconds of work that may wait on a machine
+  std::set<const Job*> kept_gangs_;      // room is kept for them
+  std::set<const Job*> overdue_placed_;  // before the queue's turn
+  double ahead_span_ = 0;                // seconds of work that may wait on a machine
   std::map<int, uint32_t> limited_ahead_;
   size_t wished_ = 0;
   bool accelerators_wanted_ = false;  // some task that needs them waits
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -318,6 +318,30 @@
   EXPECT_EQ(p.held.count("vm-1") + p.held.count("vm-2"), 2u) << "ahead tasks leave it too";
 }
 
+TEST_F(SchedulerTest, AnOverdueGangsRoomIsKeptBeforeTheQueuesTurn) {
+  // Found in an incident: single tasks of a higher turn took each freed place, and gangs waited for
+  // ten minutes beside machines that were used by turns.
+  Host& h = machine("vm-1");
+  JobSpec g = job("run-000002", 2);
+  g.gang = true;
+  g.need = {4, 0, 4};
+  g.priority = Priority::low;
+  g.team = "blue";
+  add(g);
+  JobSpec s = job("run-000001", 50);
+  s.priority = Priority::high;
+  s.estimate = Seconds(30);
+  Job& j = add(s);
+  for (int i = 0; i < 2; ++i) run(j, h);  // 4 of 8 cpus are free
+  wall += seconds(100);
+  EXPECT_FALSE(plan().placements.empty());
+  wall += seconds(100);
+  EXPECT_TRUE(plan().placements.empty());
+  EXPECT_EQ(plan().held.count("vm-1"), 1u);
+  machine("vm-2");
+  EXPECT_EQ(plan().gangs.size(), 1u) << "and where there is room it goes first";
+}
+
 TEST_F(SchedulerTest, AGangBorrowsAcceleratorMachinesLast) {
   // Found on the grown deployment: gangs stood on accelerator machines, half of the accelerators
   // stood idle, and a third of the work that needed them came too late.
