--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -97,7 +97,6 @@
 
   // What the cloud told.
   Instant known_since{};
-  bool listed = false;
   bool listed_running = false;
   bool listed_failed = false;
   bool deleting = false;
--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -198,7 +198,6 @@
         changed = true;
         spdlog::info("machine {} ({} in {}) found in the list", m.id, m.type, m.zone);
       }
-      h.listed = true;
       h.listed_running |= m.state == MachineState::running;
       if (h.address.empty()) h.address = m.address;
       if (m.state == MachineState::failed && !h.listed_failed) {
--- a/src/dunlinknot/leadership/peers.cpp
+++ b/src/dunlinknot/leadership/peers.cpp
@@ -66,20 +66,6 @@
   return false;
 }
 
-bool Peers::any_heard() const {
-  const Instant now = loop_.now();
-  for (const auto& [name, link] : links_) {
-    if (link.last && now - link.heard_at < kFresh) return true;
-  }
-  return false;
-}
-
-void Peers::take_status(const Status& s) {
-  const auto it = links_.find(s.node);
-  if (it != links_.end()) it->second.last_seen_seq = s.seq;
-  hooks_.heard(s);
-}
-
 Task<std::optional<std::pair<Kind, std::string>>> Peers::read_frame(http::Socket& socket,
                                                                     Instant deadline) {
   std::string bytes;
@@ -127,7 +113,7 @@
     }
     const auto s = wire::peer::read_status(frame->second);
     if (!s) co_return;
-    take_status(*s);
+    hooks_.heard(*s);
     Status mine = hooks_.status();
     mine.echo = s->seq;
     const std::string bytes = wire::peer::write_status(mine);
@@ -157,7 +143,7 @@
       link.last = *s;
       link.heard_at = loop_.now();
       link.confirmed_to = sent;
-      take_status(*s);
+      hooks_.heard(*s);
       co_await loop_.sleep_until(sent + kPace);
     }
     socket.close();
--- a/src/dunlinknot/leadership/peers.hpp
+++ b/src/dunlinknot/leadership/peers.hpp
@@ -31,7 +31,6 @@
   bool any_served() const;
   // Some peer said within the last seconds that workers reach it.
   bool any_beats() const;
-  bool any_heard() const;
 
  private:
   struct Link {
@@ -39,15 +38,13 @@
     uint64_t seq = 0;  // of our last status on the outgoing connection
     std::optional<wire::peer::Status> last;
     Instant heard_at{};
-    uint64_t last_seen_seq = 0;  // the peer's
-    Instant confirmed_to{};      // its answer was made after this moment
+    Instant confirmed_to{};  // its answer was made after this moment
   };
   Task<void> dial(Link& link);
   Task<void> listen();
   Task<void> serve(http::Socket socket);
   Task<std::optional<std::pair<wire::peer::Kind, std::string>>> read_frame(http::Socket& socket,
                                                                            Instant deadline);
-  void take_status(const wire::peer::Status& s);
 
   Loop& loop_;
   const settings::Platform& platform_;
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -16,7 +16,7 @@
 constexpr auto kTick = Millis(500);
 constexpr int kRoundRest = 3;  // times what the last round took
 constexpr auto kNoBeats = std::chrono::seconds(5);
-constexpr auto kStateSilent = Millis(2500);
+constexpr auto kStateSilent = Millis(1500);
 constexpr auto kStateIdle = Millis(700);
 constexpr auto kProbeTime = Millis(600);  // the load balancer waits 1 s
 constexpr double kBudgetShare = 0.85;     // of the state service's limits, for one node
