--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -427,7 +427,8 @@
         if (boot < std::max(left, 0.1) && (place_gang(j, true, lend) || rent_gang(w, lend))) return;
         const bool waits =
             lend != Lend::none || (accelerators_wanted_ && waited(j) < within * kPatience);
-        if (waits && keep_for_gang(j, lend)) return;
+        const double most = last ? std::numeric_limits<double>::max() : std::max(left, 0.0);
+        if (waits && keep_for_gang(j, lend, most)) return;
       }
       return;
     }
@@ -899,7 +900,8 @@
   // No room and nothing to rent: gangs do not evict, so the room that others leave is kept for this
   // one where it will be enough first. Else single tasks take it piece by piece, and the larger the
   // gang the longer it waits.
-  bool keep_for_gang(const Job& j, Lend lend) {
+  // Only if all of it is there within `most` seconds.
+  bool keep_for_gang(const Job& j, Lend lend, double most = std::numeric_limits<double>::max()) {
     const JobSpec& spec = j.spec();
     if (kept_gangs_.contains(&j)) return true;
     struct Place {
@@ -942,7 +944,7 @@
       best = &places;
       soonest = all_in;
     }
-    if (!best) return false;
+    if (!best || soonest > most) return false;
     for (uint32_t i = 0; i < spec.tasks; ++i) {
       Slot* s = (*best)[i].slot;
       if (s->kept_for != spec.id) s->kept = Resources{};
