A machine that goes leaves nothing held behind

Found on the last reading: the list of machines with held room kept a pointer to a machine that was removed between two rounds, and the next round wrote to it. With a test for the address sanitizer.

--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -225,6 +225,7 @@
   Host& h = *it->second;
   while (!h.bookings.empty()) needs |= end_booking(h, h.bookings.size() - 1, now);
   if (h.stamp != 0 || !h.stamp_known) dead_records_.emplace_back(wire::host_key(id), h.stamp);
+  std::erase(held_hosts_, &h);  // found on reading: it was written to after it was gone
   hosts_.erase(it);
   std::erase_if(gone_, [&](const auto& g) { return now - g.second > kRememberGone; });
   gone_[id] = now;
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -427,6 +427,18 @@
   EXPECT_EQ(c.usage(0).used.cpus, 2) << "counted from here on";
 }
 
+TEST_F(ClusterTest, AMachineThatGoesLeavesNothingHeldBehind) {
+  // The next round clears what the last one held: not on a machine that is gone (address
+  // sanitizer).
+  send(beat());
+  send(beat("vm-2"));
+  c.set_held({{"vm-1", {5, 0, 4}}, {"vm-2", {1, 0, 1}}}, {});
+  c.remove_host("vm-1", now);
+  c.set_held({}, {});
+  EXPECT_EQ(c.host("vm-2")->held.cpus, 0);
+  EXPECT_FALSE(c.host("vm-1"));
+}
+
 TEST_F(ClusterTest, AnAheadTaskRespectsItsTeamsLimit) {
   JobSpec s = job("run-000001", 3);
   s.team = "tiny";  // at most 4 cpus
