--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -242,6 +242,9 @@
       if (s.host && borrowed(spec, t)) {
         for (const Booking& b : s.host->bookings) there += b.gang && b.need.gpus <= 0 ? 1 : 0;
       }
+      // Room kept where one task strands several accelerators would keep all of them from work that
+      // waits for them now.
+      if (!lent(spec, t, Lend::cheap)) continue;
       // What is free now first; machines with accelerators last; those with its images before
       // others.
       double rank = 0;
