Answers to beats wait a moment for a run; room for gangs beside accelerators, idle 10 s

Cause: a run travels only in the answer to a beat, so a place that came free, or a machine that came up, stood idle for half a period of 5 s and more before its next task (logs of both fleets: 5 to 8% of all tasks 'starting or stopping'). The answer to a beat that told of room, while work waits, now waits at most a quarter of the period and a second for a booking there to stand. Late: a beat whose worker gave up is answered stale. With it: room for a waiting gang is kept on machines where it strands several accelerators only once it is overdue, which is half of the longest start aim; a team near its limit wants no accelerators; idle machines go after 10 s instead of 20.

--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -53,6 +53,7 @@
   holders_.clear();
   expected_.clear();  // the jobs still open are loaded anew
   dirty_hosts_.clear();
+  runnable_.clear();
   held_hosts_.clear();
   saved_.clear();
   gone_.clear();
@@ -483,6 +484,11 @@
 }
 
 BeatAnswer Cluster::on_beat(const Beat& b, Instant now, bool may_start, Needs& needs) {
+  BeatAnswer answer = hear(b, now, may_start, needs);
+  return answer.read ? orders(b, now, may_start) : answer;
+}
+
+BeatAnswer Cluster::hear(const Beat& b, Instant now, bool may_start, Needs& needs) {
   BeatAnswer answer;
   if (b.token > epoch_) {
     answer.kind = BeatAnswer::Kind::superseded;
@@ -513,7 +519,37 @@
     h.last_answered = now;
     return answer;
   }
-  take_report(h, b, now, true, needs);
+  answer.read = true;
+  const bool was_ours = h.ours;
+  Needs changed;
+  take_report(h, b, now, true, changed);
+  needs |= changed;
+  if (!may_start || h.draining || h.deleting) return answer;
+  promote_ahead(h, now);
+  const auto planned = [](const Booking& k) { return k.phase == Phase::planned; };
+  if (!h.ours || h.deaf || h.recall_at) return answer;
+  if (find_where(h.bookings, [&](const Booking& k) { return sendable(k); })) return answer;
+  const bool has_room = work_waits_ && (changed.schedule || !was_ours) && h.free().cpus > 0;
+  answer.run_soon = has_room || find_where(h.bookings, planned);
+  return answer;
+}
+
+bool Cluster::sendable(const Booking& k) const {
+  if (k.phase != Phase::durable || k.ahead || k.stopping()) return false;
+  const Job* j = job(k.task.job);
+  return j && (!k.gang || (j->gang_go && j->gang_attempt == k.attempt));  // safety 4
+}
+
+BeatAnswer Cluster::orders(const Beat& b, Instant now, bool may_start) {
+  BeatAnswer answer;
+  Host* known = host(b.machine);
+  if (!known || known->lost ||
+      std::pair(known->beat_session, known->beat_seq) != std::pair(b.session, b.seq)) {
+    // Gone meanwhile, or its worker gave this answer up and reported anew.
+    answer.kind = BeatAnswer::Kind::stale;
+    return answer;
+  }
+  Host& h = *known;
 
   // The response. Stops first, so that the room they make is there for what starts.
   auto& out = answer.commands;
@@ -533,13 +569,8 @@
     out.push_back({Command::Op::stop, t.task, t.attempt, k->grace});
   }
   if (may_start && !h.draining && !h.deleting) {
-    promote_ahead(h, now);
     for (Booking& k : h.bookings) {
-      if (k.phase != Phase::durable || k.ahead || k.stopping() || out.size() >= kMaxCommands)
-        continue;
-      const Job* j = job(k.task.job);
-      if (!j) continue;
-      if (k.gang && !(j->gang_go && j->gang_attempt == k.attempt)) continue;  // safety 4
+      if (!sendable(k) || out.size() >= kMaxCommands) continue;
       out.push_back({Command::Op::start, k.task, k.attempt, Seconds(0)});
       k.phase = Phase::sent;
       k.sent_session = b.session;
@@ -888,7 +919,11 @@
       continue;
     }
     b.phase = Phase::durable;
-    if (!b.gang) continue;
+    needs.runs = true;
+    if (!b.gang) {
+      runnable_.push_back(h.id);
+      continue;
+    }
     // Safety 4: a gang starts once every one of its bookings stands.
     Job* j = job(b.task.job);
     if (!j || j->gang_attempt != b.attempt) continue;
@@ -901,6 +936,8 @@
       }
     }
     j->gang_go = standing == j->spec().tasks;
+    if (!j->gang_go) continue;
+    for (const Host* other : holders(b.task.job)) runnable_.push_back(other->id);
   }
 }
 
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -145,15 +145,18 @@
   bool store_hosts = false;
   bool store_done = false;
   bool stops = false;  // stop calls should go out at once
+  bool runs = false;   // some machine may be sent a `run`
   void operator|=(const Needs& o) {
     schedule |= o.schedule, store_hosts |= o.store_hosts, store_done |= o.store_done;
-    stops |= o.stops;
+    stops |= o.stops, runs |= o.runs;
   }
 };
 
 struct BeatAnswer {
   enum class Kind { accept, stale, superseded } kind = Kind::accept;
   std::vector<Command> commands;
+  bool read = false;      // newer than all that was known: it may be answered with orders
+  bool run_soon = false;  // a `run` for the machine is likely within moments
 };
 
 struct StopCall {
@@ -205,6 +208,13 @@
 
   // --- workers
   BeatAnswer on_beat(const Beat& beat, Instant now, bool may_start, Needs& needs);
+  // The same in two steps, for an answer that waits a moment for a `run` (see workers::Desk).
+  BeatAnswer hear(const Beat& beat, Instant now, bool may_start, Needs& needs);
+  BeatAnswer orders(const Beat& beat, Instant now, bool may_start);
+  // Machines that a `run` may go out to since this was last asked.
+  std::vector<std::string> take_runnable() { return std::exchange(runnable_, {}); }
+  // Whether the last round left work waiting for a place.
+  void set_work_waits(bool waits) { work_waits_ = waits; }
   // A report that came as the answer to a direct call: news, but no proof of what is not in it.
   Needs on_direct_report(const Beat& beat, Instant now);
   // Machines that our answers do not reach. When they are many it is our answers that are late.
@@ -264,6 +274,7 @@
   void on_error(Host& h, Job* job, Instant now);
   void strike(Host& h, Instant now);
   void promote_ahead(Host& h, Instant now);
+  bool sendable(const Booking& b) const;
   bool fresh(Host& h, const Beat& b) const;
   void take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs);
   void note_image(Host& h, const Job& job);
@@ -289,6 +300,8 @@
   std::map<std::string, Instant> gone_;  // machines removed of late: late reports are not believed
   std::vector<std::pair<std::string, uint64_t>> dead_records_;
   std::deque<std::string> dirty_hosts_;
+  std::vector<std::string> runnable_;
+  bool work_waits_ = false;
   std::vector<Host*> held_hosts_;
   std::vector<Resources> saved_;         // of teams' limits, for gangs that wait for them
   std::vector<std::string> stop_hosts_;  // hosts with stops that were not called out yet
--- a/src/dunlinknot/cluster/domain.hpp
+++ b/src/dunlinknot/cluster/domain.hpp
@@ -24,13 +24,14 @@
         store_hosts(l),
         store_done(l),
         stops(l),
+        runs(l),
         rentals(l) {}
 
   Loop& loop;
   const settings::Platform& platform;
   const settings::Operator& op;
   Shared<Picture> picture;
-  Signal schedule, store_hosts, store_done, stops, rentals;
+  Signal schedule, store_hosts, store_done, stops, runs, rentals;
 
   // Each reign has a number; a part that was started for one ends with it.
   uint64_t reign = 0;
@@ -44,6 +45,7 @@
     if (n.store_hosts) store_hosts.notify();
     if (n.store_done) store_done.notify();
     if (n.stops) stops.notify();
+    if (n.runs) runs.notify();
   }
 };
 
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -207,7 +207,7 @@
   ++domain_.reign;
   // Whoever waits for a signal wakes up, sees that its reign is over and ends.
   for (Signal* s : {&domain_.schedule, &domain_.store_hosts, &domain_.store_done, &domain_.stops,
-                    &domain_.rentals}) {
+                    &domain_.runs, &domain_.rentals}) {
     s->notify();
   }
 }
@@ -226,6 +226,7 @@
   loop_.spawn(ledger_.store_hosts(reign));
   loop_.spawn(ledger_.store_done(reign));
   loop_.spawn(workers_.call_stops(reign));
+  loop_.spawn(workers_.release_beats(reign));
   loop_.spawn(fleet_.work(reign));
   loop_.spawn(fleet_.watch_machines(reign));
   loop_.spawn(rounds(reign));
@@ -319,6 +320,7 @@
       }
     }
     p.cluster.set_held(plan.held, plan.saved);
+    p.cluster.set_work_waits(plan.waiting_tasks > 0);
     for (const auto& e : plan.evictions) {
       if (e.renews) p.nominations.end(e.renews, preemption::End::renominated);
       Host* h = p.cluster.host(e.host);
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -32,6 +32,7 @@
 constexpr uint32_t kFirstShare = 16;     // an overdue job begins with one in so many of its tasks
 constexpr double kMeanShare = 0.6;       // of the mean, on machines with accelerators
 constexpr double kHeadroomSpread = 1.0;  // beyond the mean, in standard deviations
+constexpr double kNearLimit = 1.05;      // a team's use from which it counts as being at its limit
 constexpr double kBusyFetches = 0.5;     // a second fetch shares the rate with the first
 
 bool type_allowed(const JobSpec& s, std::string_view type) {
@@ -111,7 +112,12 @@
     ahead_span_ = static_cast<double>(slots_.size()) / (platform_.state_write_rps * kAheadWrites);
     ahead_span_ = ahead_span_ < platform_.report.count() ? 0 : std::min(ahead_span_, kMostAhead);
     for (const auto& [id, j] : cluster_.jobs()) {
-      accelerators_wanted_ |= j->spec().need.gpus > 0 && j->pending() > 0;
+      if (j->spec().need.gpus <= 0 || j->pending() == 0 || j->team() < 0) continue;
+      // What waits for its team's limit rather than for a place wants none; tasks that just ended
+      // do not make it want any.
+      const auto team = static_cast<size_t>(j->team());
+      accelerators_wanted_ |=
+          tasks_below_limit(cluster_.teams()[team], usage_[team] * kNearLimit, j->spec().need) > 0;
     }
     for (const auto& [name, e] : cluster_.expected()) keep_headroom(name, e);
     const std::vector<Waiting> waiting = queue();
@@ -144,6 +150,12 @@
     cluster::Turn turn() const { return {tier(), due}; }
   };
 
+  // How many of the job's tasks its team's limit still allows.
+  uint32_t below_limit(const Job& j) const {
+    const auto team = static_cast<size_t>(j.team());
+    return tasks_below_limit(cluster_.teams()[team], usage_[team], j.spec().need);
+  }
+
   // --- preparation
   bool usable(const Host& h) const {
     if (!h.heard || h.lost || h.draining || h.deleting || h.listed_failed || h.recall_at) {
@@ -311,11 +323,23 @@
     return {spec.deadline->count() - age, true};
   }
 
+  // An aim for the last of a class leaves the time to make room: half of it. What is to begin
+  // within it must come before all else well before it is over. Shorter aims are the ordinary
+  // order's.
+  double most_wait(const JobSpec& spec) const {
+    double most = kMostWait.count();
+    for (const auto& o : platform_.objectives) {
+      if (o.kind != "wait" || o.job_class != spec.job_class || o.within <= kRoomTakes) continue;
+      most = std::min(most, o.within.count() / 2);
+    }
+    return most;
+  }
+
   // The bound on waiting, whatever the order says: a job that nothing was started of goes first
   // after a while, and so does one that is late for longer than that.
   bool overdue(const Job& j) const {
     const double age = std::chrono::duration<double>(wall_ - j.submitted()).count();
-    if (j.done_count() == 0 && j.live_count() == j.ahead) return age > kMostWait.count();
+    if (j.done_count() == 0 && j.live_count() == j.ahead) return age > most_wait(j.spec());
     const double due = j.spec().deadline ? j.spec().deadline->count() : kNoDeadline.count();
     return age > due + kMostLate.count();
   }
@@ -391,9 +415,7 @@
   // single tasks that always are, would else take each place as it comes free.
   bool hold_overdue(const Waiting& w) {
     const Job& j = *w.job;
-    const auto team = static_cast<size_t>(j.team());
-    const uint32_t allowed = tasks_below_limit(cluster_.teams()[team], usage_[team], j.spec().need);
-    if (allowed >= j.spec().tasks && place_gang(j, false, Lend::any)) {
+    if (below_limit(j) >= j.spec().tasks && place_gang(j, false, Lend::any)) {
       overdue_placed_.insert(&j);
       return false;
     }
@@ -405,7 +427,7 @@
     const Job& j = *w.job;
     if (overdue_placed_.contains(&j)) return;
     const auto team = static_cast<size_t>(j.team());
-    const uint32_t allowed = tasks_below_limit(cluster_.teams()[team], usage_[team], j.spec().need);
+    const uint32_t allowed = below_limit(j);
     plan_.waiting_tasks += j.pending();
     if (j.spec().gang) {
       if (j.any_live()) return;
@@ -431,7 +453,8 @@
         const bool waits =
             lend != Lend::none || (accelerators_wanted_ && waited(j) < within * kPatience);
         const double most = last ? std::numeric_limits<double>::max() : std::max(left, 0.0);
-        if (waits && keep_for_gang(j, lend, most)) return;
+        // What it waits for longer is no machine where its tasks strand several accelerators.
+        if (waits && keep_for_gang(j, last ? Lend::cheap : lend, most)) return;
       }
       return;
     }
@@ -469,9 +492,8 @@
       return;
     const cluster::Turn mine = absolute(w.turn());
     const double run = std::max(1.0, spec.estimate.count());
-    const auto& team = cluster_.teams()[static_cast<size_t>(w.job->team())];
     const Resources& used = usage_[static_cast<size_t>(w.job->team())];
-    if (tasks_below_limit(team, used, spec.need) == 0) {
+    if (below_limit(*w.job) == 0) {
       // At its limit only what ends of its own makes room.
       const double running = std::max(spec.need.cpus > 0 ? used.cpus / spec.need.cpus : 0,
                                       spec.need.gpus > 0 ? used.gpus / spec.need.gpus : 0);
--- a/src/dunlinknot/settings/settings.hpp
+++ b/src/dunlinknot/settings/settings.hpp
@@ -74,7 +74,7 @@
   uint32_t max_submissions = 64;  // api/max-submissions
   uint32_t max_polls = 128;       // api/max-polls
   uint32_t final_cache = 4000;    // api/final-cache
-  Seconds idle_return{20};        // fleet/idle-return
+  Seconds idle_return{10};        // fleet/idle-return
   double boot_patience = 4.0;     // fleet/boot-patience, times the type's boot time
   Seconds lost_return{20};        // fleet/lost-return
   Seconds refusal_pause{15};      // fleet/refusal-pause
--- a/src/dunlinknot/workers/desk.cpp
+++ b/src/dunlinknot/workers/desk.cpp
@@ -12,6 +12,7 @@
 namespace {
 constexpr auto kStopTime = Millis(1500);
 constexpr size_t kMaxCalls = 16;
+constexpr auto kMostRunWait = Millis(1000);  // far below what a worker waits for an answer
 }  // namespace
 
 Desk::Desk(cluster::Domain& domain, leadership::Elector& elector, const leadership::Peers& peers,
@@ -41,7 +42,23 @@
   }
   Needs needs;
   BeatAnswer answer = domain_.picture.with(
-      [&](Picture& p) { return p.cluster.on_beat(*beat, now, elector_.may_start(), needs); });
+      [&](Picture& p) { return p.cluster.hear(*beat, now, elector_.may_start(), needs); });
+  domain_.follow_up(needs);
+  if (answer.read) {
+    if (answer.run_soon) {
+      // A `run` travels only in an answer, and the next one would be a whole period away.
+      const uint64_t reign = domain_.reign;
+      co_await await_run(beat->machine);
+      if (!domain_.in_reign(reign) || !domain_.loaded ||
+          !elector_.may_renew(peers_.common_silence(elector_.last_served()))) {
+        out.status = 503;
+        co_return out;
+      }
+    }
+    answer = domain_.picture.with([&](Picture& p) {
+      return p.cluster.orders(*beat, domain_.loop.now(), elector_.may_start());
+    });
+  }
   switch (answer.kind) {
     case BeatAnswer::Kind::superseded:
       elector_.heard_of(beat->token, std::nullopt, "worker " + beat->machine);
@@ -56,10 +73,32 @@
   }
   last_own_beat_ = now;
   out.body = wire::write_orders(domain_.epoch, std::nullopt, answer.commands);
-  domain_.follow_up(needs);
   co_return out;
 }
 
+Task<void> Desk::await_run(std::string machine) {
+  Signal signal(domain_.loop);
+  if (const auto it = waiting_.find(machine); it != waiting_.end()) it->second->notify();
+  waiting_[machine] = &signal;
+  const Nanos most = std::min<Nanos>(kMostRunWait, to_nanos(domain_.platform.report / 4));
+  const Instant until = domain_.loop.now() + most;
+  (void)co_await signal.wait_until(until);
+  if (const auto it = waiting_.find(machine); it != waiting_.end() && it->second == &signal) {
+    waiting_.erase(it);
+  }
+}
+
+Task<void> Desk::release_beats(uint64_t reign) {
+  while (domain_.in_reign(reign)) {
+    (void)co_await domain_.runs.wait();
+    if (!domain_.in_reign(reign)) co_return;
+    for (const auto& id :
+         domain_.picture.with([](Picture& p) { return p.cluster.take_runnable(); })) {
+      if (const auto it = waiting_.find(id); it != waiting_.end()) it->second->notify();
+    }
+  }
+}
+
 Task<void> Desk::call_stops(uint64_t reign) {
   while (domain_.in_reign(reign)) {
     (void)co_await domain_.stops.wait();
--- a/src/dunlinknot/workers/desk.hpp
+++ b/src/dunlinknot/workers/desk.hpp
@@ -1,5 +1,7 @@
 // Dealings with the workers: their beats, and direct calls for stops.
 #pragma once
+#include <unordered_map>
+
 #include "dunlinknot/cluster/domain.hpp"
 #include "dunlinknot/http/client.hpp"
 #include "dunlinknot/http/message.hpp"
@@ -15,6 +17,7 @@
 
   Task<http::Response> beat(std::string body);
   Task<void> call_stops(uint64_t reign);
+  Task<void> release_beats(uint64_t reign);  // wakes the answers that wait for a `run`
 
   bool ever_beaten() const { return ever_; }
   Instant last_beat() const { return last_beat_; }          // any worker reached us
@@ -22,6 +25,7 @@
 
  private:
   Task<void> call_stop(uint64_t reign, cluster::StopCall call);
+  Task<void> await_run(std::string machine);
 
   cluster::Domain& domain_;
   leadership::Elector& elector_;
@@ -32,6 +36,7 @@
   Instant last_own_beat_{};
   uint64_t bad_ = 0;
   size_t calling_ = 0;
+  std::unordered_map<std::string, Signal*> waiting_;  // by machine: the answer that waits
 };
 
 }  // namespace dunlinknot::workers
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -79,6 +79,32 @@
   EXPECT_EQ(orders[0].op, Command::Op::start);
 }
 
+TEST_F(ClusterTest, AnAnswerWaitsOnlyWhereARunMayComeAndNeverOutlivesItsBeat) {
+  // A `run` travels only in answers, and on a large cluster the next one is seconds away.
+  Job& j = add(job("run-000001", 8));
+  Beat first = beat();
+  first.token = 4;
+  EXPECT_FALSE(c.hear(first, now, true, needs).run_soon) << "does not bear our baton";
+  EXPECT_FALSE(c.hear(beat(), now, true, needs).run_soon) << "nothing waits for a place";
+  c.set_work_waits(true);
+  EXPECT_FALSE(c.hear(beat(), now, true, needs).run_soon) << "nothing changed there";
+  Host& h = *c.host("vm-1");
+  c.book(h, j, *j.take_pending(), c.next_attempt(), now);
+  const Beat waiting = beat();
+  EXPECT_TRUE(c.hear(waiting, now, true, needs).run_soon) << "its booking is being written";
+  Needs n;
+  c.host_stored(h, c.record_of(h), 21, n);
+  EXPECT_TRUE(n.runs);
+  EXPECT_EQ(c.take_runnable(), std::vector<std::string>{"vm-1"});
+  const Beat newer = beat();  // its worker gave the answer up
+  EXPECT_FALSE(c.hear(newer, now, true, needs).run_soon) << "the run goes at once";
+  EXPECT_EQ(c.orders(waiting, now, true).kind, BeatAnswer::Kind::stale);
+  EXPECT_TRUE(c.orders(newer, now, false).commands.empty()) << "the state service went meanwhile";
+  ASSERT_EQ(c.orders(newer, now, true).commands.size(), 1u);
+  c.remove_host("vm-1", now);
+  EXPECT_EQ(c.orders(newer, now, true).kind, BeatAnswer::Kind::stale) << "deleted meanwhile";
+}
+
 TEST_F(ClusterTest, ALostResponseIsSaidAgainAndTheBookingStays) {
   Job& j = add(job("run-000001"));
   send(beat());
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -202,6 +202,71 @@
   EXPECT_EQ(plan().gangs.size(), 1u);
 }
 
+TEST_F(SchedulerTest, HeadroomLeavesMachinesAloneWhereATaskStrandsSeveralAccelerators) {
+  // Found on a fleet: more than half of the large accelerator machines stood free for gangs that
+  // might come, while a thousand tasks waited for their accelerators.
+  platform.objectives.push_back({"wait", "quick", Seconds(10), 0.9, 1});
+  machine("vm-1", "a", "rig");
+  JobSpec q = job("run-000001", 1);
+  q.job_class = "quick";
+  q.gang = true;
+  q.need = {6, 0, 4};
+  add(q);
+  c.close_job("run-000001", false, now);
+  JobSpec gpu = job("run-000002", 4);
+  gpu.need = {4, 1, 4};
+  add(gpu);
+  EXPECT_EQ(by_host(plan()), (std::map<std::string, uint32_t>{{"vm-1", 2}}));
+}
+
+TEST_F(SchedulerTest, WorkAtItsTeamsLimitWantsNoAcceleratorsFromOthers) {
+  // Found on a fleet: gangs waited beside machines whose accelerators nobody could use, since the
+  // only team that asked for them was at its limit.
+  platform.teams[0].gpus_max = 2;
+  Host& full = machine("vm-1", "a", "rig");
+  Job& others = add(job("run-000005", 4));
+  for (int i = 0; i < 4; ++i) run(others, full);
+  JobSpec gpu = job("run-000009", 40);
+  gpu.need = {4, 1, 4};
+  Job& j = add(gpu);
+  JobSpec g = job("run-000001", 1);
+  g.gang = true;
+  g.priority = Priority::high;
+  g.team = "blue";
+  g.need = {6, 0, 4};
+  add(g);
+  EXPECT_EQ(plan().held.count("vm-1"), 0u) << "the accelerators are wanted";
+  Host& used = machine("vm-2", "a", "rig");
+  for (int i = 0; i < 2; ++i) run(j, used);
+  EXPECT_EQ(plan().held.count("vm-1"), 1u) << "the room is kept for the gang";
+}
+
+TEST_F(SchedulerTest, AnAimForTheLastOfAClassBringsTheBoundOnWaitingForward) {
+  // Found on a fleet: with 99% to begin within two minutes, two minutes were also the bound after
+  // which a gang went before all else, too late for the aim.
+  const auto placed_after = [&](Seconds waited) {
+    const WallTime before = wall;
+    wall += std::chrono::duration_cast<Millis>(waited);
+    const Plan p = plan();
+    wall = before;
+    return p.placements.at(0).job;
+  };
+  platform.teams[0].cpus = 0;
+  machine("vm-1");
+  JobSpec s = job("run-000001", 64);
+  s.job_class = "slow";
+  s.priority = Priority::low;
+  add(s);
+  s = job("run-000002", 64);
+  s.job_class = "other";
+  add(s);
+  EXPECT_EQ(placed_after(seconds(70)), "run-000002");
+  platform.objectives.push_back({"wait", "slow", Seconds(20), 0.9, 1});
+  EXPECT_EQ(placed_after(seconds(70)), "run-000002") << "short aims are for the ordinary order";
+  platform.objectives.push_back({"wait", "slow", Seconds(120), 0.99, 1});
+  EXPECT_EQ(placed_after(seconds(70)), "run-000001");
+}
+
 TEST_F(SchedulerTest, HeadroomCountsEachArrivalOnce) {
   // Found on the grown deployment: a class with two aims for its start was counted twice, and a
   // node that led a second time counted the open jobs once more.
