--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -19,7 +19,9 @@
 constexpr uint32_t kMaxRentals = 24;
 constexpr int kMostPause = 8;  // times the first
 constexpr Seconds kBootSlack{15};
-constexpr size_t kMaxDeletion = 50;
+constexpr size_t kMaxDeletion = 100;  // the cloud takes no more in one call
+constexpr double kReportSpread = 1.25;  // reports come every period, give or take a quarter
+constexpr Seconds kReportSlack{1};
 
 }  // namespace
 
@@ -228,6 +230,7 @@
   std::sort(wanted.begin(), wanted.end());
   std::vector<std::pair<std::string, std::string>> out;
   const auto& op = domain_.op;
+  const Nanos silent = to_nanos(domain_.platform.report * kReportSpread + kReportSlack);
   domain_.picture.with([&](Picture& p) {
     // Deleting a machine that does not hear us is the quick fence: its tasks go elsewhere at once.
     for (const auto& id : p.cluster.deaf_hosts())
@@ -258,6 +261,12 @@
         }
         continue;
       }
+      // Its notice came and then nothing more: taken, or about to be. What was not saved there need
+      // not wait for the lease.
+      if (h->recall_at && now - h->last_heard > silent) {
+        out.emplace_back(id, "it was recalled and is silent");
+        continue;
+      }
       if (!h->bookings.empty()) continue;
       if (h->draining) {
         out.emplace_back(id, h->drain_reason);
