A machine that just came up is counted on before it bears our baton; tests

Cause: found by a new test. Between a machine's first report and the next it was neither ready nor coming, so another was rented in its place.

--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -166,13 +166,24 @@
     // late copy, of a machine that was deleted long ago even. And only a machine that hears our
     // answers can be given anything.
     if (!h.ours || h.deaf) return false;
+    return heard_of_late(h);
+  }
+
+  bool heard_of_late(const Host& h) const {
     return now_ - h.last_heard < to_nanos(platform_.report * 2 + Seconds(1));
   }
 
+  // Not up yet, or just up and about to bear our baton: counted on, so that nothing is rented in
+  // its place for that moment.
+  bool expected_up(const Host& h) const {
+    if (h.draining || h.deleting || h.listed_failed) return false;
+    return !h.heard || (!h.ours && !h.lost && !h.recall_at && heard_of_late(h));
+  }
+
   void collect() {
     for (const auto& [id, h] : cluster_.hosts()) {
       const bool ready = usable(*h);
-      const bool coming = !h->heard && !h->draining && !h->deleting && !h->listed_failed;
+      const bool coming = expected_up(*h);
       if ((!ready && !coming) || h->size.cpus <= 0) continue;
       Slot& s = add_slot(h.get(), *h, {h->type, h->zone, h->spot}, coming);
       s.ahead = h->ahead;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -518,6 +518,59 @@
   expect_rules(s);
 }
 
+TEST(Machines, ARecalledOneThatFallsSilentIsDeletedAndItsTasksGoElsewhere) {
+  // Its tasks waited for the end of its lease, though the cloud had said that it would take it.
+  Site s(1);
+  s.run_for(seconds(2));
+  s.submit(job("run-000001"));
+  while (s.workers.empty()) s.run_for(Millis(50));
+  auto& w = *s.workers.begin()->second;
+  w.run_time = [](const TaskRef&) { return seconds(60); };
+  s.run_for(seconds(12));
+  ASSERT_EQ(s.workers.size(), 1u);
+  ASSERT_EQ(s.copies({"run-000001", 0}), 1u);
+  w.notice = Seconds(4);
+  s.run_for(seconds(2));
+  EXPECT_TRUE(w.on) << "it may still save and complete what it has";
+  w.cut = true;
+  s.run_for(seconds(5));
+  EXPECT_FALSE(w.on);
+  EXPECT_EQ(s.cloud.deletions.size(), 1u);
+  s.run_for(seconds(12));
+  EXPECT_EQ(s.workers.size(), 2u) << "well before the lease of 14 s was over";
+  EXPECT_EQ(s.starts, 2u);
+  expect_rules(s);
+}
+
+TEST(Machines, ARunGoesOutWithTheAnswerToTheReportThatToldOfTheRoom) {
+  // Found on a fleet: every task waited for the report after the one that told of the room.
+  Site s(1);
+  s.run_for(seconds(2));
+  std::map<std::string, std::vector<Instant>> starts;
+  s.submit(job("run-000001", 24));  // tasks of 5 s, more than the machines hold at once
+  while (s.workers.empty()) s.run_for(Millis(50));
+  s.run_for(Millis(50));
+  for (auto& [id, worker] : s.workers) {
+    worker->on_start = [&s, &at = starts[id], counted = worker->on_start](const TaskRef& t) {
+      counted(t);
+      at.push_back(s.loop.now());
+    };
+  }
+  s.run_for(seconds(30));
+  EXPECT_EQ(s.standing("run-000001"), "done");
+  size_t seen = 0;
+  for (const auto& [id, at] : starts) {
+    for (size_t i = 1; i < at.size(); ++i) {
+      if (at[i] - at[i - 1] < seconds(2)) continue;
+      ++seen;
+      // Reports come every 1.5 s: the fourth after the start tells of the end.
+      EXPECT_LT(at[i] - at[i - 1], Millis(6900));
+    }
+  }
+  EXPECT_GT(seen, 0u);
+  expect_rules(s);
+}
+
 TEST(Machines, LateCopiesOfReportsChangeNothing) {
   // Of a machine that was deleted, from seconds to well over a lease late, also after a take-over.
   Site s(3);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -269,6 +269,26 @@
   EXPECT_EQ(placed_after(seconds(70)), "run-000001");
 }
 
+TEST_F(SchedulerTest, AMachineThatJustCameUpIsCountedOnBeforeItBearsOurBaton) {
+  // Its first report bears none: for the moment until the next, another was rented in its place.
+  market.refused.erase({"box", "a", false});
+  add(job("run-000001", 2));
+  EXPECT_EQ(plan().wishes.size(), 1u);
+  Beat b;
+  b.machine = "vm-1";
+  b.type = "box";
+  b.zone = "a";
+  b.session = b.seq = 1;
+  Needs needs;
+  c.on_beat(b, now, true, needs);
+  const Plan p = plan();
+  EXPECT_TRUE(p.wishes.empty());
+  EXPECT_TRUE(p.placements.empty()) << "nothing is given to it yet";
+  now += seconds(10);
+  EXPECT_EQ(plan().wishes.size(), 1u)
+      << "a late copy of a machine that is gone keeps nobody waiting";
+}
+
 TEST_F(SchedulerTest, HeadroomCountsEachArrivalOnce) {
   // Found on the grown deployment: a class with two aims for its start was counted twice, and a
   // node that led a second time counted the open jobs once more.
