--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -19,7 +19,7 @@
 constexpr uint32_t kMaxRentals = 24;
 constexpr int kMostPause = 8;  // times the first
 constexpr Seconds kBootSlack{15};
-constexpr size_t kMaxDeletion = 100;  // the cloud takes no more in one call
+constexpr size_t kMaxDeletion = 100;    // the cloud takes no more in one call
 constexpr double kReportSpread = 1.25;  // reports come every period, give or take a quarter
 constexpr Seconds kReportSlack{1};
 
--- a/src/dunlinknot/http/socket.cpp
+++ b/src/dunlinknot/http/socket.cpp
@@ -115,7 +115,7 @@
   ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   const sockaddr_in addr = address_of(at);
   if (::bind(fd, reinterpret_cast<const sockaddr*>(&addr), sizeof addr) != 0 ||
-      ::listen(fd, 256) != 0) {
+      ::listen(fd, SOMAXCONN) != 0) {  // all machines of a cluster may come back at once
     const std::string why = std::strerror(errno);
     ::close(fd);
     throw std::runtime_error("cannot listen on " + at.text() + ": " + why);
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -19,10 +19,20 @@
 constexpr auto kStateSilent = Millis(1500);
 constexpr auto kStateIdle = Millis(700);
 constexpr auto kProbeTime = Millis(600);  // the load balancer waits 1 s
-constexpr double kBudgetShare = 0.85;     // of the state service's limits, for one node
+constexpr size_t kOtherCalls = 64;
+constexpr double kBudgetShare = 0.85;  // of the state service's limits, for one node
 
 }  // namespace
 
+// Calls on the users' behalf, one socket each at most; links with the other controllers, both ways;
+// the rest is for stops, the cloud and the ledger. On a large quota all else is for workers and
+// users: a leader holds a connection of every machine.
+size_t server_connections(const settings::Platform& platform, const settings::Operator& op) {
+  const size_t own = op.max_submissions + op.max_polls + 2 * platform.peers.size() + kOtherCalls;
+  const size_t most = platform.max_connections;
+  return std::max(most * 3 / 4, most > own ? most - own : 0);
+}
+
 Daemon::Daemon(Loop& loop, const settings::Platform& platform, const settings::Operator& op,
                http::Transport& transport, uint32_t seed)
     : loop_(loop),
@@ -59,7 +69,7 @@
 
 void Daemon::start() {
   http::ServerOptions options;
-  options.max_connections = platform_.max_connections * 3 / 4;
+  options.max_connections = server_connections(platform_, op_);
   server_ = std::make_unique<http::Server>(
       loop_, platform_.listen, options, [this](http::Request r) { return handle(std::move(r)); });
   loop_.spawn(server_->serve());
--- a/src/dunlinknot/node/daemon.hpp
+++ b/src/dunlinknot/node/daemon.hpp
@@ -13,6 +13,9 @@
 
 namespace dunlinknot::node {
 
+// How many connections the server may hold, so that the calls of this node find sockets too.
+size_t server_connections(const settings::Platform& platform, const settings::Operator& op);
+
 class Daemon {
  public:
   Daemon(Loop& loop, const settings::Platform& platform, const settings::Operator& op,
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <fstream>
 
+#include "support.hpp"
+
 namespace dunlinknot::settings {
 namespace {
 
@@ -109,6 +111,20 @@
   return "";
 }
 
+TEST(Sockets, WorkersUsersAndOurOwnCallsEachHaveRoom) {
+  // Three quarters for the server left a leader of a large cluster a hundred sockets for its users.
+  settings::Platform p = test::Site::platform(0, 3);
+  const settings::Operator op;
+  p.max_connections = 4000;
+  const size_t large = node::server_connections(p, op);
+  EXPECT_GT(large, 3600u);
+  EXPECT_GE(p.max_connections - large, op.max_submissions + op.max_polls + 2 * p.peers.size() + 20);
+  p.max_connections = 800;
+  EXPECT_EQ(node::server_connections(p, op), 600u);
+  p.max_connections = 32;
+  EXPECT_EQ(node::server_connections(p, op), 24u);
+}
+
 TEST(OperatorFile, IsReadAndEveryValueChecked) {
   const File f(
       "<dunlinknot>\n<fleet>\n<idle-return unit=\"s\">12.5</idle-return>\n</fleet>\n"
