--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -39,7 +39,7 @@
 Cluster::Cluster(const settings::Platform& platform, const settings::Operator& op)
     : platform_(platform),
       op_(op),
-      blind_(leadership::blind_window(platform)),
+      blind_(leadership::former_leader_window(platform)),
       lease_(leadership::lease_bound(platform)),
       record_limit_(platform.value_bytes - platform.value_bytes / 8),
       usage_(platform.teams.size()) {}
@@ -485,7 +485,8 @@
 
 BeatAnswer Cluster::on_beat(const Beat& b, Instant now, bool may_start, Needs& needs) {
   BeatAnswer answer = hear(b, now, may_start, needs);
-  return answer.read ? orders(b, now, may_start) : answer;
+  if (answer.kind != BeatAnswer::Kind::accept) return answer;
+  return orders(b, now, may_start && answer.read);
 }
 
 BeatAnswer Cluster::hear(const Beat& b, Instant now, bool may_start, Needs& needs) {
@@ -514,9 +515,7 @@
   std::tie(h.beat_session, h.beat_seq) = at;
   if (!fresh(h, b)) {
     // Older than a report already seen (a direct call's answer may overtake a beat): its worker may
-    // still be waiting, so its lease is renewed, but nothing is read from it and nothing is
-    // ordered.
-    h.last_answered = now;
+    // still be waiting, so its lease is renewed, but nothing is read from it and nothing started.
     return answer;
   }
   answer.read = true;
@@ -551,23 +550,25 @@
   }
   Host& h = *known;
 
-  // The response. Stops first, so that the room they make is there for what starts.
+  // The response. Stops first: what renews a lease carries every stop that is due (safety 2), and
+  // the room they make is there for what starts.
   auto& out = answer.commands;
   for (const auto& t : b.tasks) {
-    if (out.size() >= kMaxCommands) break;
-    const Job* j = job(t.task.job);
-    if (t.state == TaskState::exited) {
-      // Safety 3: a completed task is forgotten only after its `done` is durable.
-      const bool keep = t.cause == ExitCause::done && j && t.task.index < j->spec().tasks &&
-                        !j->is_durable(t.task.index);
-      if (!keep) out.push_back({Command::Op::forget, t.task, t.attempt, Seconds(0)});
-      continue;
-    }
+    if (t.state == TaskState::exited) continue;
     const Booking* k = h.find(t.task, t.attempt);
     if (!k || !k->stopping()) continue;
     if (t.state == TaskState::saving && k->grace > Seconds(0)) continue;
     out.push_back({Command::Op::stop, t.task, t.attempt, k->grace});
   }
+  for (const auto& t : b.tasks) {
+    if (out.size() >= kMaxCommands) break;
+    if (t.state != TaskState::exited) continue;
+    // Safety 3: a completed task is forgotten only after its `done` is durable.
+    const Job* j = job(t.task.job);
+    const bool keep = t.cause == ExitCause::done && j && t.task.index < j->spec().tasks &&
+                      !j->is_durable(t.task.index);
+    if (!keep) out.push_back({Command::Op::forget, t.task, t.attempt, Seconds(0)});
+  }
   if (may_start && !h.draining && !h.deleting) {
     for (Booking& k : h.bookings) {
       if (!sendable(k) || out.size() >= kMaxCommands) continue;
@@ -794,8 +795,8 @@
 
 Instant Cluster::silent_until(const Host& h) const {
   // Safety 1: a worker that never bore our baton may still be answered by the leader before us,
-  // until that one's blind window is over.
-  return h.ours ? h.last_answered : std::max(h.last_answered, reign_since_ + blind_ * 1001 / 1000);
+  // until that one's window is over.
+  return h.ours ? h.last_answered : std::max(h.last_answered, reign_since_ + blind_);
 }
 
 Instant Cluster::lease_over(const Host& h) const {
--- a/src/dunlinknot/cluster/ledger.cpp
+++ b/src/dunlinknot/cluster/ledger.cpp
@@ -13,6 +13,8 @@
 
 constexpr auto kCommitTime = Millis(1200);
 constexpr auto kRetry = Millis(120);
+constexpr Millis kWatchBlock{
+    1000};  // each answer moves the horizon (safety 2), with news or without
 constexpr auto kTrailing = std::chrono::seconds(4);
 constexpr size_t kTxnBytes = 40 * 1024;
 constexpr double kApiReserve = 0.2;     // of the write budget's burst, left to the users' requests
@@ -29,10 +31,11 @@
   return {std::string(wire::kEpochKey), domain_.epoch_stamp};
 }
 
-Task<bool> Ledger::list_all(uint64_t reign, std::string prefix, Visit visit, uint64_t* revision) {
+Task<bool> Ledger::list_all(uint64_t reign, std::string prefix, Visit visit, Reading& reading) {
   std::string after;
   bool first = true;
   for (;;) {
+    const Instant sent = domain_.loop.now();
     state::ListResult r = co_await state_.list(prefix, after, std::chrono::seconds(3));
     if (!domain_.in_reign(reign)) co_return false;
     if (r.outcome != Outcome::ok) {
@@ -40,7 +43,7 @@
       if (!domain_.in_reign(reign)) co_return false;
       continue;
     }
-    if (first && revision) *revision = r.revision;
+    if (first) reading = {r.revision, sent};
     first = false;
     for (const auto& item : r.items) visit(item);
     if (!r.more || r.items.empty()) co_return true;
@@ -63,8 +66,8 @@
 
 Task<bool> Ledger::load(uint64_t reign) {
   const Visit job = [this](const state::Item& i) { take_job(i); };
-  if (!co_await list_all(reign, std::string(wire::kJobPrefix), job, &jobs_revision_))
-    co_return false;
+  Reading jobs, rest;
+  if (!co_await list_all(reign, std::string(wire::kJobPrefix), job, jobs)) co_return false;
   garbage_.clear();
   const Visit done = [this](const state::Item& i) {
     const auto key = wire::parse_done_key(i.key);
@@ -76,7 +79,7 @@
     });
     if (!open) garbage_.emplace_back(i.key, i.stamp);
   };
-  if (!co_await list_all(reign, std::string(wire::kDonePrefix), done, nullptr)) co_return false;
+  if (!co_await list_all(reign, std::string(wire::kDonePrefix), done, rest)) co_return false;
   const Visit host = [this](const state::Item& i) {
     const std::string id(wire::after_prefix(i.key, wire::kHostPrefix));
     const auto record = wire::read_host(i.value);
@@ -87,8 +90,10 @@
     }
     domain_.picture.with([&](Picture& p) { p.cluster.load_host(id, *record, i.stamp, now); });
   };
-  const bool all = co_await list_all(reign, std::string(wire::kHostPrefix), host, nullptr);
-  co_return all;
+  if (!co_await list_all(reign, std::string(wire::kHostPrefix), host, rest)) co_return false;
+  jobs_revision_ = jobs.revision;
+  hooks_.caught_up(jobs.sent);
+  co_return true;
 }
 
 // ---- bookings
@@ -415,7 +420,10 @@
   state::GetResult got = co_await state_.get(wire::job_key(id), kCommitTime);
   if (!domain_.in_reign(reign) || got.outcome != Outcome::ok) co_return;
   if (got.found) {
-    take_job(got.item);
+    // Only the watch makes a job known: this answer may be older than its end.
+    domain_.picture.with([&](Picture& p) {
+      if (Job* j = p.cluster.job(id)) j->stamp = got.item.stamp;
+    });
     co_return;
   }
   state::GetResult final = co_await state_.get(wire::final_key(id), kCommitTime);
@@ -437,28 +445,46 @@
     listed.insert(std::string(wire::after_prefix(i.key, wire::kJobPrefix)));
     take_job(i);
   };
-  if (!co_await list_all(reign, std::string(wire::kJobPrefix), visit, &jobs_revision_)) {
-    co_return false;
-  }
-  std::vector<std::string> missing = domain_.picture.with([&](Picture& p) {
-    std::vector<std::string> out;
+  Reading reading;
+  if (!co_await list_all(reign, std::string(wire::kJobPrefix), visit, reading)) co_return false;
+  // Only this watch makes jobs known, so all were there before the listing: one that is not in it
+  // is over. Asking for each how it ended could fail, and its cancellation would never be heard of.
+  Needs needs;
+  domain_.picture.with([&](Picture& p) {
+    std::vector<std::string> over;
     for (const auto& [id, j] : p.cluster.jobs()) {
-      if (!listed.contains(id)) out.push_back(id);
+      if (!listed.contains(id)) over.push_back(id);
     }
-    return out;
+    for (const auto& id : over) needs |= close_over(p, id);
   });
-  for (const auto& id : missing) {
-    co_await recheck_job(reign, id);
-    if (!domain_.in_reign(reign)) co_return false;
-  }
-  domain_.schedule.notify();
+  needs.schedule = true;
+  domain_.follow_up(needs);
+  jobs_revision_ = reading.revision;
+  hooks_.caught_up(reading.sent);
   co_return true;
 }
 
+// The job's record is gone: cancelled, or done. Ours are closed when their transaction is answered;
+// whoever comes first, the tasks of a finished job are all done, and stopping what is left of it
+// does no harm.
+Needs Ledger::close_over(Picture& p, const std::string& id) {
+  const Job* j = p.cluster.job(id);
+  if (!j) return {};
+  if (!j->all_done()) spdlog::info("job {} was cancelled", id);
+  const Needs needs = p.cluster.close_job(id, true, domain_.loop.now());
+  p.nominations.job_closed(id);
+  return needs;
+}
+
+void Ledger::cancelled(const std::string& id) {
+  domain_.follow_up(domain_.picture.with([&](Picture& p) { return close_over(p, id); }));
+}
+
 Task<void> Ledger::watch_jobs(uint64_t reign) {
   while (domain_.in_reign(reign)) {
+    const Instant sent = domain_.loop.now();
     state::WatchResult w =
-        co_await state_.watch(std::string(wire::kJobPrefix), jobs_revision_, Millis(20'000));
+        co_await state_.watch(std::string(wire::kJobPrefix), jobs_revision_, kWatchBlock);
     if (!domain_.in_reign(reign)) co_return;
     if (w.outcome != Outcome::ok) {
       co_await domain_.loop.sleep(kRetry);
@@ -468,27 +494,19 @@
       if (!co_await relist_jobs(reign)) co_return;
       continue;
     }
-    jobs_revision_ = std::max(jobs_revision_, w.revision);
     Needs needs;
     for (const auto& c : w.changes) {
       const std::string id(wire::after_prefix(c.key, wire::kJobPrefix));
       if (c.deleted) {
-        // Ours are closed when their transaction is answered; whoever comes first, the tasks of a
-        // finished job are all done, and stopping what is left of it does no harm.
-        domain_.picture.with([&](Picture& p) {
-          const Job* j = p.cluster.job(id);
-          if (!j) return;
-          const bool cancelled = !j->all_done();
-          if (cancelled) spdlog::info("job {} was cancelled", id);
-          needs |= p.cluster.close_job(id, true, domain_.loop.now());
-          p.nominations.job_closed(id);
-        });
+        domain_.picture.with([&](Picture& p) { needs |= close_over(p, id); });
       } else {
         state::Item item{c.key, c.value, c.stamp, 0};
         take_job(item);
         needs.schedule = true;
       }
     }
+    jobs_revision_ = std::max(jobs_revision_, w.revision);
+    hooks_.caught_up(sent);
     domain_.follow_up(needs);
   }
 }
--- a/src/dunlinknot/cluster/ledger.hpp
+++ b/src/dunlinknot/cluster/ledger.hpp
@@ -15,6 +15,8 @@
   struct Hooks {
     std::function<void(std::string_view why)> deposed;  // a guard on `epoch` failed
     std::function<void(const std::string& id, uint32_t tasks)> finished;  // `done` is durable
+    // All cancellations that stood when a read was sent at `sent` have been carried out here.
+    std::function<void(Instant sent)> caught_up;
   };
   Ledger(Domain& domain, state::Client& state, Hooks hooks);
 
@@ -23,6 +25,9 @@
   Task<void> store_hosts(uint64_t reign);
   Task<void> store_done(uint64_t reign);
   Task<void> watch_jobs(uint64_t reign);
+  void cancelled(const std::string& id);  // another node says so; the watch will too
+  // Every change of the open jobs up to this revision has been carried out here.
+  uint64_t jobs_revision() const { return jobs_revision_; }
 
  private:
   struct HostWrite {
@@ -31,7 +36,11 @@
     wire::HostRecord record;
   };
   using Visit = std::function<void(const state::Item&)>;
-  Task<bool> list_all(uint64_t reign, std::string prefix, Visit visit, uint64_t* revision);
+  struct Reading {  // of a listing's first page: what it shows is at least this new
+    uint64_t revision = 0;
+    Instant sent{};
+  };
+  Task<bool> list_all(uint64_t reign, std::string prefix, Visit visit, Reading& reading);
   Task<void> refresh_hosts(uint64_t reign);
   Task<bool> store_some_hosts(uint64_t reign, bool trailing);
   Task<bool> delete_some_records(uint64_t reign);
@@ -39,6 +48,7 @@
   Task<void> recheck_job(uint64_t reign, std::string id);
   Task<bool> relist_jobs(uint64_t reign);
   void take_job(const state::Item& item);
+  Needs close_over(Picture& p, const std::string& id);
   state::Guard epoch_guard() const;
   Task<void> await_budget(uint64_t reign, double writes);
 
--- a/src/dunlinknot/jobs/desk.cpp
+++ b/src/dunlinknot/jobs/desk.cpp
@@ -26,13 +26,15 @@
 
 }  // namespace
 
-void FinalCache::put(const std::string& id, wire::FinalRecord r) {
-  if (most_ == 0 || !records_.emplace(id, r).second) return;
+bool FinalCache::put(const std::string& id, wire::FinalRecord r) {
+  if (most_ == 0) return true;
+  if (!records_.emplace(id, r).second) return false;
   order_.push_back(id);
   if (order_.size() > most_) {
     records_.erase(order_.front());
     order_.pop_front();
   }
+  return true;
 }
 
 const wire::FinalRecord* FinalCache::find(const std::string& id) const {
@@ -53,11 +55,13 @@
 }
 
 Desk::Desk(Loop& loop, state::Client& state, const settings::Platform& platform,
-           const settings::Operator& op, uint32_t seed)
+           const settings::Operator& op, uint32_t seed,
+           std::function<void(const std::string&)> cancelled)
     : loop_(loop),
       state_(state),
       platform_(platform),
       op_(op),
+      cancelled_(std::move(cancelled)),
       finals_(op.final_cache),
       random_(seed) {}
 
@@ -102,6 +106,13 @@
   return "";
 }
 
+void Desk::learn_final(const std::string& id, const wire::FinalRecord& record, uint64_t revision) {
+  const bool news = finals_.put(id, record);
+  if (!record.cancelled) return;
+  cancel_revision_ = std::max(cancel_revision_, revision);
+  if (news) cancelled_(id);
+}
+
 Task<Desk::Lookup> Desk::look_up(std::string id, Instant deadline) {
   Lookup out;
   if (const auto* f = finals_.find(id)) {
@@ -136,7 +147,7 @@
     }
     out.known = Known::final;
     out.final = *record;
-    finals_.put(id, *record);
+    learn_final(id, *record, final.item.stamp);
     co_return out;
   }
   co_return out;
@@ -249,7 +260,7 @@
     const Nanos within = std::min<Nanos>(kTryTime, deadline - loop_.now());
     state::TxnResult r = co_await state_.commit(std::move(txn), within, state::Importance::user);
     if (r.outcome == Outcome::refused) break;
-    if (r.outcome == Outcome::ok && r.applied) finals_.put(id, {true, found.tasks});
+    if (r.outcome == Outcome::ok && r.applied) learn_final(id, {true, found.tasks}, r.revision);
     // Applied, overtaken or unknown: what stands now is the answer.
   }
   co_return later();
--- a/src/dunlinknot/jobs/desk.hpp
+++ b/src/dunlinknot/jobs/desk.hpp
@@ -2,6 +2,7 @@
 // was accepted, cancelled or done.
 #pragma once
 #include <deque>
+#include <functional>
 #include <random>
 #include <unordered_map>
 
@@ -17,7 +18,7 @@
 class FinalCache {
  public:
   explicit FinalCache(size_t most) : most_(most) {}
-  void put(const std::string& id, wire::FinalRecord r);
+  bool put(const std::string& id, wire::FinalRecord r);  // whether it is news
   const wire::FinalRecord* find(const std::string& id) const;
 
  private:
@@ -40,7 +41,8 @@
 class Desk {
  public:
   Desk(Loop& loop, state::Client& state, const settings::Platform& platform,
-       const settings::Operator& op, uint32_t seed);
+       const settings::Operator& op, uint32_t seed,
+       std::function<void(const std::string& id)> cancelled);
 
   Task<http::Response> submit(std::string body);
   Task<http::Response> poll(std::string id);
@@ -50,6 +52,9 @@
   bool catalog_known() const { return !catalog_.empty(); }
   FinalCache& finals() { return finals_; }
   ProgressBoard& progress() { return progress_; }
+  // The latest revision of a cancellation that stands, as far as this node has read or written one:
+  // it has told its users of none beyond it.
+  uint64_t cancel_revision() const { return cancel_revision_; }
   uint64_t accepted() const { return accepted_; }
   uint64_t refused() const { return refused_; }
 
@@ -62,6 +67,7 @@
     uint32_t tasks = 0;
   };
   Task<Lookup> look_up(std::string id, Instant deadline);
+  void learn_final(const std::string& id, const wire::FinalRecord& record, uint64_t revision);
   http::Response standing_of(const std::string& id, const Lookup& found, bool with_counts);
   http::Response later(int least_s = 1);
   http::Response refuse(int status, std::string_view why) const;
@@ -71,6 +77,8 @@
   state::Client& state_;
   const settings::Platform& platform_;
   const settings::Operator& op_;
+  std::function<void(const std::string&)> cancelled_;
+  uint64_t cancel_revision_ = 0;
   std::vector<MachineType> catalog_;
   FinalCache finals_;
   ProgressBoard progress_;
--- a/src/dunlinknot/leadership/elector.cpp
+++ b/src/dunlinknot/leadership/elector.cpp
@@ -24,6 +24,10 @@
   return to_nanos(std::max(Seconds(0), left / kDrift));
 }
 
+Nanos former_leader_window(const settings::Platform& p) {
+  return to_nanos(to_seconds(blind_window(p)) * kDrift);
+}
+
 Nanos lease_bound(const settings::Platform& p) {
   return to_nanos(p.lease * kDrift + kMargin / 2);
 }
@@ -39,16 +43,27 @@
       changed_(loop) {}
 
 bool Elector::may_start() const {
-  return leading_ && loop_.now() - state_.last_served_sent() < ttl_ * 2 / 3;
+  const Instant now = loop_.now();
+  return leading_ && now - state_.last_served_sent() < ttl_ * 2 / 3 && now - horizon_ < ttl_ * 2;
 }
 
-bool Elector::may_renew(std::optional<Instant> common_silence) const {
+// Safety 2. A cancellation that we do not know of was told at C, after `evidence` or after what the
+// other nodes vouched for; call that E, so E < C. We answer no report from E + window on, a worker
+// counts its lease from the sending of the report that was answered, so every lease we renewed is
+// over by E + window + lease, drift included: before C + cancel_s.
+// A successor won after E as well: our lease on `leader` stood then, and whoever vouched had won
+// nothing. So it waits for the same window from its own election (former_leader_window).
+bool Elector::may_renew(std::optional<Instant> vouched) const {
   if (!leading_) return false;
-  Instant from = state_.last_served_sent();
-  if (common_silence) from = std::max(from, *common_silence);
+  Instant from = evidence();
+  if (vouched) from = std::max(from, *vouched);
   return loop_.now() < from + blind_;
 }
 
+void Elector::saw_cancellations(Instant sent) {
+  horizon_ = std::max(horizon_, sent);
+}
+
 void Elector::heard_of(uint64_t epoch, std::optional<std::string> leader, std::string_view from) {
   if (epoch < known_epoch_) return;
   if (epoch > known_epoch_) {
@@ -80,8 +95,10 @@
   changed_.notify();
 }
 
-void Elector::win(uint64_t epoch, uint64_t stamp) {
+void Elector::win(uint64_t epoch, uint64_t stamp, Instant asked) {
   leading_ = true;
+  tenure_ = asked;
+  horizon_ = Instant{};  // until the open jobs have been read
   resigning_ = false;
   reign_ = Reign{epoch, stamp, loop_.now()};
   known_epoch_ = epoch;
@@ -176,20 +193,24 @@
   txn.writes.push_back(
       {std::string(wire::kLeaderKey), wire::write_leader({platform_.node, mine}), lease_});
   txn.writes.push_back({std::string(wire::kEpochKey), wire::write_epoch(mine), 0});
+  const Instant asked = loop_.now();
   state::TxnResult r = co_await state_.commit(txn, kCallTime, state::Importance::essential);
   if (r.applied) {
-    win(mine, r.revision);
+    win(mine, r.revision, asked);
     co_return;
   }
   if (r.outcome != http::Outcome::unknown) co_return;
   // Nobody knows whether it went through: read back before anything else is tried. The lease bound
   // to the key tells our own attempt from any other.
   for (int i = 0; i < 20; ++i) {
+    const Instant read = loop_.now();
     state::GetResult got =
         co_await state_.get(std::string(wire::kLeaderKey), kCallTime, state::Importance::essential);
     if (got.outcome == http::Outcome::ok) {
       const auto record = got.found ? wire::read_leader(got.item.value) : std::nullopt;
-      if (record && got.item.lease == lease_ && record->epoch == mine) win(mine, got.item.stamp);
+      if (record && got.item.lease == lease_ && record->epoch == mine) {
+        win(mine, got.item.stamp, read);
+      }
       co_return;
     }
     co_await loop_.sleep(kRetry);
@@ -202,6 +223,7 @@
     const Instant started = loop_.now();
     state::LeaseResult r = co_await state_.extend(lease_, kCallTime);
     if (!leading_) break;
+    if (r.outcome == http::Outcome::ok && !r.gone) tenure_ = started;
     if (r.outcome == http::Outcome::ok && r.gone) {
       // The lease ran out while the service did not serve us. If nobody took over meanwhile, the
       // same epoch goes on under a new lease; the guard on `epoch` decides that.
@@ -213,10 +235,12 @@
         txn.guards.push_back({std::string(wire::kEpochKey), reign_.epoch_stamp});
         txn.writes.push_back({std::string(wire::kLeaderKey),
                               wire::write_leader({platform_.node, reign_.epoch}), again.lease});
+        const Instant asked = loop_.now();
         state::TxnResult t = co_await state_.commit(txn, kCallTime, state::Importance::essential);
         if (!leading_) break;
         if (t.applied) {
           lease_ = again.lease;
+          tenure_ = asked;
           spdlog::info("leadership: epoch {} goes on under a new lease", reign_.epoch);
         } else if (t.outcome == http::Outcome::ok) {
           step_down("another node took over while the state service did not serve us");
--- a/src/dunlinknot/leadership/elector.hpp
+++ b/src/dunlinknot/leadership/elector.hpp
@@ -2,6 +2,7 @@
 // epoch's number is the baton the workers see. Every transaction of a leader guards the stamp of
 // `epoch`, so whatever a former leader still has in flight fails.
 #pragma once
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -17,9 +18,12 @@
   Instant since{};
 };
 
-// How long a leader that the state service does not serve may go on renewing the workers' leases:
-// a cancellation it cannot hear of must still be over on every machine within cancel_s.
+// How long after its last evidence (see Elector::evidence) a leader may go on renewing the workers'
+// leases: a cancellation it cannot hear of must still be over on every machine within cancel_s.
 Nanos blind_window(const settings::Platform& p);
+// The same window as another node has to wait for it, the two clocks drifting apart: no leader
+// renews a lease later than this after its successor's election.
+Nanos former_leader_window(const settings::Platform& p);
 // The time after which a worker that was last answered at `t` has certainly killed its tasks.
 Nanos lease_bound(const settings::Platform& p);
 
@@ -45,20 +49,24 @@
   // Gives the leadership up so that another node may take it; stays out of the race for a while.
   void resign(std::string_view why);
 
-  // When the last request was sent that the state service served.
-  Instant last_served() const { return state_.last_served_sent(); }
-  // Served by the state service recently enough to start work.
+  // A read sent at `sent` was answered and showed every cancellation that stood by then, and all of
+  // them have been carried out here (the horizon).
+  void saw_cancellations(Instant sent);
+  // Until when it is certain that no cancellation stands that we do not know of, and that nobody
+  // else was elected. A request that was served, but shows neither, proves nothing of it.
+  Instant evidence() const { return std::min(horizon_, tenure_); }
+  // Served by the state service, and cancellations seen, recently enough to start work.
   bool may_start() const;
-  // May still renew the workers' leases. `common_silence`: until when all peers confirmed that the
-  // state service served nobody since we lost it.
-  bool may_renew(std::optional<Instant> common_silence) const;
+  // May still renew the workers' leases. `vouched`: until when all nodes were known to have told
+  // of no cancellation since `evidence` that we do not know of.
+  bool may_renew(std::optional<Instant> vouched) const;
 
  private:
   Task<void> follow();
   Task<void> campaign();
   Task<void> lead();
   void step_down(std::string_view why);
-  void win(uint64_t epoch, uint64_t stamp);
+  void win(uint64_t epoch, uint64_t stamp, Instant asked);
 
   Loop& loop_;
   state::Client& state_;
@@ -69,6 +77,8 @@
 
   bool leading_ = false;
   Reign reign_;
+  Instant horizon_{};
+  Instant tenure_{};  // the sending of the last request that proved that our lease still stood
   uint64_t lease_ = 0;
   uint64_t known_epoch_ = 0;
   std::optional<std::string> known_leader_;
--- a/src/dunlinknot/leadership/peers.cpp
+++ b/src/dunlinknot/leadership/peers.cpp
@@ -13,6 +13,8 @@
 constexpr auto kRedial = Millis(1000);
 constexpr auto kIdle = std::chrono::seconds(10);
 constexpr size_t kMaxServed = 32;
+constexpr size_t kMaxCancelled = 64;  // hints that wait for their connection
+constexpr double kSlowest = 0.999;    // of our clock: two clocks, each off by up to 0.05%
 }  // namespace
 
 using wire::peer::Kind;
@@ -20,7 +22,11 @@
 
 Peers::Peers(Loop& loop, const settings::Platform& platform, Hooks hooks)
     : loop_(loop), platform_(platform), hooks_(std::move(hooks)) {
-  for (const auto& p : platform.peers) links_[p.node].peer = p;
+  for (const auto& p : platform.peers) {
+    Link& link = links_[p.node];
+    link.peer = p;
+    link.wake = std::make_unique<Signal>(loop);
+  }
 }
 
 void Peers::start() {
@@ -29,21 +35,39 @@
   for (auto& [name, link] : links_) loop_.spawn(dial(link));
 }
 
-std::optional<Instant> Peers::common_silence(Instant since) const {
+// Safety 2: whatever a peer's process told before its answer, it had read or written before, and
+// says so in `cancel_revision`. What a process before it told stood before `since`.
+std::optional<Instant> Peers::vouched_until(Instant since, uint64_t revision) const {
   Instant until = Instant::max();
   if (links_.empty()) return std::nullopt;
   for (const auto& [name, link] : links_) {
-    // A peer that began after `since` cannot speak for the process before it.
     if (!link.last || link.confirmed_to < since) return std::nullopt;
-    if (link.heard_at - link.last->up > since) return std::nullopt;
-    if (link.last->state_known && link.heard_at - link.last->state_silent > since) {
-      return std::nullopt;
-    }
+    const Nanos up = to_nanos(Seconds(link.last->up) * kSlowest);
+    if (link.heard_at - up > since || link.last->cancel_revision > revision) return std::nullopt;
     until = std::min(until, link.confirmed_to);
   }
   return until;
 }
 
+void Peers::take_status(const Status& s, Instant sent) {
+  const auto it = links_.find(s.node);
+  if (it == links_.end()) return;
+  it->second.last = s;
+  it->second.heard_at = loop_.now();
+  it->second.confirmed_to = sent;
+  hooks_.heard(s);
+}
+
+void Peers::tell_cancelled(const std::string& job) {
+  const std::string leader = hooks_.status().leader;
+  for (auto& [name, link] : links_) {
+    if (!leader.empty() && name != leader) continue;
+    if (link.cancelled.size() >= kMaxCancelled) link.cancelled.pop_front();
+    link.cancelled.push_back(job);
+    link.wake->notify();
+  }
+}
+
 bool Peers::any_served() const {
   const Instant now = loop_.now();
   for (const auto& [name, link] : links_) {
@@ -111,6 +135,10 @@
       if (const auto p = wire::peer::read_progress(frame->second)) hooks_.told(*p);
       continue;
     }
+    if (frame->first == Kind::cancelled) {
+      if (const auto job = wire::peer::read_cancelled(frame->second)) hooks_.cancelled(*job);
+      continue;
+    }
     const auto s = wire::peer::read_status(frame->second);
     if (!s) co_return;
     hooks_.heard(*s);
@@ -134,17 +162,17 @@
       std::string bytes = wire::peer::write_status(mine);
       const wire::peer::Progress progress = hooks_.progress();
       if (!progress.entries.empty()) bytes += wire::peer::write_progress(progress);
+      for (const auto& job : link.cancelled) bytes += wire::peer::write_cancelled(job);
+      link.cancelled.clear();
       const Instant answer_by = sent + kAnswerTime;
       if (!co_await socket.write_all(bytes, answer_by)) break;
       const auto frame = co_await read_frame(socket, answer_by);
       if (!frame || frame->first != Kind::status) break;
       const auto s = wire::peer::read_status(frame->second);
       if (!s || s->node != link.peer.node || s->echo != link.seq) break;
-      link.last = *s;
-      link.heard_at = loop_.now();
-      link.confirmed_to = sent;
-      hooks_.heard(*s);
-      co_await loop_.sleep_until(sent + kPace);
+      take_status(*s, sent);
+      // A cancellation goes out at once, with a status of its own.
+      if (link.cancelled.empty()) (void)co_await link.wake->wait_until(sent + kPace);
     }
     socket.close();
     co_await loop_.sleep(kRedial);
--- a/src/dunlinknot/leadership/peers.hpp
+++ b/src/dunlinknot/leadership/peers.hpp
@@ -1,9 +1,11 @@
 // What the controllers tell one another: who leads, whether the state service and the workers reach
-// each of them, and how far the open jobs are. Nothing here is needed for safety except one thing,
-// the confirmation that no peer is served by the state service either.
+// each of them, how far the open jobs are, and which were just cancelled. Nothing here is needed
+// for safety except one thing: every peer's word on the cancellations that it knows of.
 #pragma once
+#include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -19,14 +21,21 @@
     std::function<void(const wire::peer::Status&)> heard;
     std::function<wire::peer::Progress()> progress;  // to send, when leading; may be empty
     std::function<void(const wire::peer::Progress&)> told;
+    std::function<void(const std::string& job)> cancelled;  // a peer told its user so
   };
 
   Peers(Loop& loop, const settings::Platform& platform, Hooks hooks);
   void start();
 
-  // The time until which every peer confirmed that the state service had not served it since
-  // `since` or before; empty when any of them did not.
-  std::optional<Instant> common_silence(Instant since) const;
+  // The time until which every peer is known to have told of no cancellation beyond `revision`;
+  // empty when any of them may have. One whose process began after `since` cannot speak for the
+  // process before it.
+  std::optional<Instant> vouched_until(Instant since, uint64_t revision) const;
+  // Tells the leader, as far as it is known, that a job was cancelled: for speed only, it may get
+  // lost and it may come late.
+  void tell_cancelled(const std::string& job);
+  // A peer's answer to our status, which was sent at `sent`.
+  void take_status(const wire::peer::Status& s, Instant sent);
   // Some peer said within the last seconds that the state service serves it.
   bool any_served() const;
   // Some peer said within the last seconds that workers reach it.
@@ -39,6 +48,8 @@
     std::optional<wire::peer::Status> last;
     Instant heard_at{};
     Instant confirmed_to{};  // its answer was made after this moment
+    std::unique_ptr<Signal> wake;
+    std::deque<std::string> cancelled;  // to be told
   };
   Task<void> dial(Link& link);
   Task<void> listen();
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -55,16 +55,20 @@
               [this] { return progress(); },
               [this](const wire::peer::Progress& p) {
                 if (!elector_.leading()) jobs_.progress().replace(p);
-              }}),
-      jobs_(loop, state_, platform, op, seed),
-      workers_(domain_, elector_, peers_, transport),
+              },
+              [this](const std::string& id) { heard_cancelled(id); }}),
+      jobs_(loop, state_, platform, op, seed,
+            [this](const std::string& id) { told_cancelled(id); }),
+      workers_(
+          domain_, elector_, [this] { return may_renew(); }, transport),
       ledger_(domain_, state_,
               {[this](std::string_view why) {
                  elector_.heard_of(domain_.epoch + 1, std::nullopt, why);
                },
                [this](const std::string& id, uint32_t tasks) {
                  jobs_.finals().put(id, {false, tasks});
-               }}),
+               },
+               [this](Instant sent) { elector_.saw_cancellations(sent); }}),
       fleet_(domain_, cloud_) {}
 
 void Daemon::start() {
@@ -142,9 +146,33 @@
   s.beats_known = workers_.ever_beaten();
   if (s.beats_known) s.beats_silent = to_millis(now - workers_.last_beat());
   s.leading = elector_.leading();
+  s.cancel_revision = jobs_.cancel_revision();
   return s;
 }
 
+// Safety 2. While the state service is away for all, nobody can confirm a cancellation; that all
+// nodes, this one too, have told of none that the picture lacks stands in for a read.
+bool Daemon::may_renew() const {
+  if (elector_.may_renew(std::nullopt)) return true;
+  const uint64_t revision = ledger_.jobs_revision();
+  if (jobs_.cancel_revision() > revision) return false;
+  return elector_.may_renew(peers_.vouched_until(elector_.evidence(), revision));
+}
+
+// The leader stops the job's tasks at once, wherever the user asked: a leader that the state
+// service refuses would hear of it too late to save the work. Only for speed.
+void Daemon::told_cancelled(const std::string& id) {
+  if (elector_.leading()) {
+    heard_cancelled(id);
+  } else {
+    peers_.tell_cancelled(id);
+  }
+}
+
+void Daemon::heard_cancelled(const std::string& id) {
+  if (elector_.leading() && domain_.loaded) ledger_.cancelled(id);
+}
+
 wire::peer::Progress Daemon::progress() {
   wire::peer::Progress p;
   if (!elector_.leading() || !domain_.loaded) return p;
@@ -244,7 +272,7 @@
 }
 
 Task<void> Daemon::rounds(uint64_t reign) {
-  const Instant began = loop_.now();
+  Instant began = loop_.now();
   Instant next_tick = began;
   while (domain_.in_reign(reign)) {
     (void)co_await domain_.schedule.wait_until(next_tick);
@@ -258,7 +286,9 @@
         return n;
       });
       domain_.follow_up(needs);
-      // Cut off from the workers while they reach our peers: another node can serve them.
+      // Cut off from the workers while they reach our peers: another node can serve them. That they
+      // leave a leader that may not renew their leases is another matter.
+      if (!may_renew()) began = now;
       const Instant heard = std::max(workers_.last_own_beat(), began);
       if (now - heard > kNoBeats && peers_.any_beats()) {
         elector_.resign("no worker reaches this node, but they reach others");
--- a/src/dunlinknot/node/daemon.hpp
+++ b/src/dunlinknot/node/daemon.hpp
@@ -28,6 +28,9 @@
   Task<http::Response> handle(http::Request request);
   const leadership::Elector& elector() const { return elector_; }
   cluster::Domain& domain() { return domain_; }
+  leadership::Peers& peers() { return peers_; }
+  wire::peer::Status status() const;
+  void heard_cancelled(const std::string& id);  // a peer told its user so
 
  private:
   void gained(const leadership::Reign& reign);
@@ -41,8 +44,9 @@
   Task<void> report_counts();
   void report_cluster();
   Task<bool> ready();
-  wire::peer::Status status() const;
   wire::peer::Progress progress();
+  bool may_renew() const;
+  void told_cancelled(const std::string& id);
 
   Loop& loop_;
   const settings::Platform& platform_;
--- a/src/dunlinknot/wire/peer.cpp
+++ b/src/dunlinknot/wire/peer.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr size_t kStatusBytes = 3 * 8 + 4 * 4 + 2 * kNameBytes;
+constexpr size_t kStatusBytes = 4 * 8 + 4 * 4 + 2 * kNameBytes;
 constexpr size_t kIdBytes = 24;
 constexpr size_t kEntryBytes = kIdBytes + 8;
 
@@ -68,7 +68,7 @@
   if (c.get<uint32_t>() != kMagic || c.get<uint16_t>() != kVersion) return std::nullopt;
   const uint16_t kind = c.get<uint16_t>();
   const uint32_t length = c.get<uint32_t>();
-  if (kind < 1 || kind > 2 || length > kMaxBody) return std::nullopt;
+  if (kind < 1 || kind > 3 || length > kMaxBody) return std::nullopt;
   return Header{static_cast<Kind>(kind), length};
 }
 
@@ -79,6 +79,7 @@
   s.seq = c.get<uint64_t>();
   s.echo = c.get<uint64_t>();
   s.epoch = c.get<uint64_t>();
+  s.cancel_revision = c.get<uint64_t>();
   s.state_silent = c.ms();
   s.up = c.ms();
   s.beats_silent = c.ms();
@@ -96,6 +97,7 @@
   put<uint64_t>(b, s.seq);
   put<uint64_t>(b, s.echo);
   put<uint64_t>(b, s.epoch);
+  put<uint64_t>(b, s.cancel_revision);
   put_ms(b, s.state_silent);
   put_ms(b, s.up);
   put_ms(b, s.beats_silent);
@@ -124,6 +126,17 @@
   return p;
 }
 
+std::optional<std::string> read_cancelled(std::string_view body) {
+  if (body.size() != kIdBytes) return std::nullopt;
+  return Cursor{body}.name(kIdBytes);
+}
+
+std::string write_cancelled(const std::string& job) {
+  std::string b;
+  put_name(b, job, kIdBytes);
+  return frame(Kind::cancelled, b);
+}
+
 std::string write_progress(const Progress& p) {
   std::string b;
   const size_t n = std::min(p.entries.size(), kMaxEntries);
--- a/src/dunlinknot/wire/peer.hpp
+++ b/src/dunlinknot/wire/peer.hpp
@@ -2,11 +2,12 @@
 // a version in every frame and a length that is checked before anything is read.
 //
 //   frame  = magic u32 | version u16 | kind u16 | length u32 | body[length]
-//   status = seq u64 | echo u64 | epoch u64 | state_silent_ms u32 | up_ms u32 | beats_silent_ms u32
+//   status = seq u64 | echo u64 | epoch u64 | cancel_revision u64 | state_silent_ms u32 | up_ms u32
 //   |
-//            flags u32 | node char[32] | leader char[32]
+//            beats_silent_ms u32 | flags u32 | node char[32] | leader char[32]
 //   progress = epoch u64 | count u32 | reserved u32 | count * entry
 //   entry  = id char[24] | done u32 | running u32
+//   cancelled = id char[24]
 #pragma once
 #include <cstdint>
 #include <optional>
@@ -19,13 +20,13 @@
 namespace dunlinknot::wire::peer {
 
 inline constexpr uint32_t kMagic = 0x4b4e4c44;  // "DLNK"
-inline constexpr uint16_t kVersion = 1;
+inline constexpr uint16_t kVersion = 2;
 inline constexpr size_t kHeaderBytes = 12;
 inline constexpr size_t kMaxBody = 32 * 1024;
 inline constexpr size_t kMaxEntries = 512;
 inline constexpr size_t kNameBytes = 32;
 
-enum class Kind : uint16_t { status = 1, progress = 2 };
+enum class Kind : uint16_t { status = 1, progress = 2, cancelled = 3 };
 
 struct Header {
   Kind kind = Kind::status;
@@ -33,9 +34,11 @@
 };
 
 struct Status {
-  uint64_t seq = 0;        // of the sender
-  uint64_t echo = 0;       // the last seq it has seen from the receiver
-  uint64_t epoch = 0;      // the highest leadership it knows of
+  uint64_t seq = 0;    // of the sender
+  uint64_t echo = 0;   // the last seq it has seen from the receiver
+  uint64_t epoch = 0;  // the highest leadership it knows of
+  // The latest revision of a cancellation that it has read or written since its process began.
+  uint64_t cancel_revision = 0;
   Millis state_silent{0};  // since the state service last served it
   Millis up{0};            // since its process began
   Millis beats_silent{0};  // since a worker last reached it
@@ -60,7 +63,9 @@
 std::optional<Header> read_header(std::string_view bytes);
 std::optional<Status> read_status(std::string_view body);
 std::optional<Progress> read_progress(std::string_view body);
-std::string write_status(const Status& s);      // a whole frame
-std::string write_progress(const Progress& p);  // a whole frame
+std::optional<std::string> read_cancelled(std::string_view body);
+std::string write_status(const Status& s);            // a whole frame
+std::string write_cancelled(const std::string& job);  // a whole frame
+std::string write_progress(const Progress& p);        // a whole frame
 
 }  // namespace dunlinknot::wire::peer
--- a/src/dunlinknot/workers/desk.cpp
+++ b/src/dunlinknot/workers/desk.cpp
@@ -15,9 +15,9 @@
 constexpr auto kMostRunWait = Millis(1000);  // far below what a worker waits for an answer
 }  // namespace
 
-Desk::Desk(cluster::Domain& domain, leadership::Elector& elector, const leadership::Peers& peers,
+Desk::Desk(cluster::Domain& domain, leadership::Elector& elector, std::function<bool()> may_renew,
            http::Transport& transport)
-    : domain_(domain), elector_(elector), peers_(peers), transport_(transport) {}
+    : domain_(domain), elector_(elector), may_renew_(std::move(may_renew)), transport_(transport) {}
 
 Task<http::Response> Desk::beat(std::string body) {
   http::Response out;
@@ -30,7 +30,7 @@
     co_return out;
   }
   // Safety 2: without the state service a leader goes on renewing leases for a bounded time only.
-  if (!domain_.loaded || !elector_.may_renew(peers_.common_silence(elector_.last_served()))) {
+  if (!domain_.loaded || !may_renew_()) {
     out.status = 503;
     co_return out;
   }
@@ -44,20 +44,19 @@
   BeatAnswer answer = domain_.picture.with(
       [&](Picture& p) { return p.cluster.hear(*beat, now, elector_.may_start(), needs); });
   domain_.follow_up(needs);
-  if (answer.read) {
+  if (answer.kind == BeatAnswer::Kind::accept) {
     if (answer.run_soon) {
       // A `run` travels only in an answer, and the next one would be a whole period away.
       const uint64_t reign = domain_.reign;
       co_await await_run(beat->machine);
-      if (!domain_.in_reign(reign) || !domain_.loaded ||
-          !elector_.may_renew(peers_.common_silence(elector_.last_served()))) {
+      if (!domain_.in_reign(reign) || !domain_.loaded || !may_renew_()) {
         out.status = 503;
         co_return out;
       }
     }
-    answer = domain_.picture.with([&](Picture& p) {
-      return p.cluster.orders(*beat, domain_.loop.now(), elector_.may_start());
-    });
+    const bool starts = answer.read && elector_.may_start();
+    answer = domain_.picture.with(
+        [&](Picture& p) { return p.cluster.orders(*beat, domain_.loop.now(), starts); });
   }
   switch (answer.kind) {
     case BeatAnswer::Kind::superseded:
--- a/src/dunlinknot/workers/desk.hpp
+++ b/src/dunlinknot/workers/desk.hpp
@@ -1,18 +1,19 @@
 // Dealings with the workers: their beats, and direct calls for stops.
 #pragma once
+#include <functional>
 #include <unordered_map>
 
 #include "dunlinknot/cluster/domain.hpp"
 #include "dunlinknot/http/client.hpp"
 #include "dunlinknot/http/message.hpp"
 #include "dunlinknot/leadership/elector.hpp"
-#include "dunlinknot/leadership/peers.hpp"
 
 namespace dunlinknot::workers {
 
 class Desk {
  public:
-  Desk(cluster::Domain& domain, leadership::Elector& elector, const leadership::Peers& peers,
+  // `may_renew`: whether a worker's lease may still be renewed (safety 2).
+  Desk(cluster::Domain& domain, leadership::Elector& elector, std::function<bool()> may_renew,
        http::Transport& transport);
 
   Task<http::Response> beat(std::string body);
@@ -29,7 +30,7 @@
 
   cluster::Domain& domain_;
   leadership::Elector& elector_;
-  const leadership::Peers& peers_;
+  std::function<bool()> may_renew_;
   http::Transport& transport_;
   bool ever_ = false;
   Instant last_beat_{};
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -13,6 +13,7 @@
 // Everything a day may not do, as far as this world can see it.
 void expect_rules(const Site& s) {
   EXPECT_EQ(s.ran_twice, 0u);
+  for (const auto& b : s.rules.broken()) ADD_FAILURE() << b;
 }
 
 TEST(Api, AnswersAsTheProtocolSays) {
@@ -214,6 +215,7 @@
   s.run_for(seconds(2));
   const size_t first = *s.leader();
   s.nodes[first]->cut_from_state = true;
+  s.nodes[first]->cut_from_peers = true;  // else it hears of its successor
   const auto& e = s.daemon(first).elector();
   s.run_for(leadership::blind_window(s.nodes[first]->platform) - seconds(2));
   EXPECT_TRUE(e.may_renew(std::nullopt));
@@ -361,6 +363,7 @@
   // The leader loses the state service; the workers reach no other node.
   const size_t old = *s.leader();
   s.nodes[old]->cut_from_state = true;
+  s.nodes[old]->cut_from_peers = true;
   for (size_t i = 0; i < 3; ++i) {
     for (auto& [id, w] : s.workers) {
       if (i != old) s.cut.insert({i, id});
@@ -626,8 +629,8 @@
 }
 
 TEST(Leadership, ALeaderWithNothingLeftButItsWorkersStartsNothingAndLetsGo) {
-  // It sees neither the state service nor the other controllers (which this world never connects);
-  // its workers reach it alone. Its successor waits its window out, and no task runs twice.
+  // It sees neither the state service nor the other controllers; its workers reach it alone. Its
+  // successor waits its window out, and no task runs twice.
   Site s(3);
   s.run_for(seconds(2));
   const size_t old = *s.leader();
@@ -637,6 +640,7 @@
   s.submit(job("run-000002", 8), old);
   s.run_for(seconds(4));
   s.nodes[old]->cut_from_state = true;
+  s.nodes[old]->cut_from_peers = true;
   for (size_t i = 0; i < 3; ++i) {
     for (auto& [id, w] : s.workers) {
       if (i != old) s.cut.insert({i, id});
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -152,11 +152,13 @@
   (void)multi(doc->root());
 }
 
-Task<Reply> StateService::changes(std::string target) {
+Task<Reply> StateService::changes(std::string target, Instant deadline) {
   const std::string prefix = param(target, "starts");
   const uint64_t since = number(param(target, "since"));
   const Instant end = loop_.now() + Millis(number(param(target, "blockMs")));
   for (;;) {
+    if (too_old) co_return reply(410);
+    if (loop_.now() >= deadline) co_return Reply{};  // the client gave up
     expire();
     std::vector<const Event*> news;
     if (!outage) {
@@ -199,7 +201,7 @@
   const View root = doc ? doc->root() : View();
   Reply out = reply(400);
   if (call.target.starts_with("/changes")) {
-    out = co_await changes(call.target);
+    out = co_await changes(call.target, call.deadline);
   } else if (call.target == "/multi") {
     out = multi(root);
   } else if (call.target == "/leases") {
@@ -368,20 +370,34 @@
   return b;
 }
 
+void Worker::end(Running& r, ExitCause cause) {
+  if (on_end) on_end(Running{r.task, r.attempt, r.state, cause, r.saved, r.since, r.ends});
+  r.state = TaskState::exited;
+  r.cause = cause;
+}
+
 void Worker::advance() {
   for (auto& [key, t] : tasks) {
     if (t.state == TaskState::running && loop_.now() >= t.ends) {
-      t.state = TaskState::exited;
-      t.cause = fails && fails(t.task) ? ExitCause::error : ExitCause::done;
+      end(t, fails && fails(t.task) ? ExitCause::error : ExitCause::done);
     } else if (t.state == TaskState::saving && loop_.now() >= t.ends) {
-      t.state = TaskState::exited;
-      t.cause = ExitCause::stopped;
       t.saved = true;
+      end(t, ExitCause::stopped);
     }
   }
 }
 
+void Worker::power_off() {
+  on = false;
+  for (auto& [key, t] : tasks) {
+    if (t.state != TaskState::exited) end(t, ExitCause::none);
+  }
+}
+
 void Worker::lose_lease() {
+  for (auto& [key, t] : tasks) {
+    if (t.state != TaskState::exited) end(t, ExitCause::none);
+  }
   tasks.clear();
   ++session;
   answered_sent_ = loop_.now();
@@ -425,8 +441,7 @@
         it->second.state = TaskState::saving;
         it->second.ends = loop_.now() + to_nanos(spec->second.save);
       } else if (it->second.state != TaskState::saving || grace == 0) {
-        it->second.state = TaskState::exited;
-        it->second.cause = ExitCause::stopped;
+        end(it->second, ExitCause::stopped);
       }
     } else if (verb == "forget" && it != tasks.end() && it->second.state == TaskState::exited) {
       tasks.erase(it);
@@ -437,8 +452,12 @@
 Task<void> Worker::run(std::function<Task<http::Response>(http::Request)> handler, Nanos pace) {
   while (on) {
     const Instant sent = loop_.now();
+    if (hung) {
+      co_await loop_.sleep(Millis(50));
+      continue;
+    }
     if (sent - answered_sent_ > lease_) lose_lease();
-    if (cut) {
+    if (cut || mute) {
       co_await loop_.sleep(pace);
       continue;
     }
@@ -450,7 +469,9 @@
     http::Response answer = co_await handler(std::move(r));
     co_await loop_.sleep(Millis(1));
     if (!on) co_return;
-    if (answer.status == 200 && !drop_responses && !cut && in_session == session) {
+    // A response that took too long was given up, and a machine that hung meanwhile drops it too.
+    const bool in_time = loop_.now() - sent <= seconds(4) && !hung;
+    if (answer.status == 200 && !drop_responses && !cut && in_time && in_session == session) {
       const auto doc = Document::parse(answer.body);
       const auto baton = doc->root()["baton"].count();
       if (baton && *baton >= token) {
@@ -463,13 +484,34 @@
   }
 }
 
+Task<void> Worker::watch_lease() {
+  while (on) {
+    const Instant ends = answered_sent_ + lease_;
+    co_await loop_.sleep_until(std::max(ends, loop_.now()) + Millis(1));
+    if (on && !hung && loop_.now() - answered_sent_ > lease_) lose_lease();
+  }
+}
+
+// A hung machine has the command in its socket, and executes it when it goes on.
+Task<void> Worker::execute_later(std::string body) {
+  while (on && hung) co_await loop_.sleep(Millis(20));
+  if (!on) co_return;
+  if (loop_.now() - answered_sent_ > lease_) lose_lease();
+  (void)execute(body);
+}
+
 Task<Reply> Worker::direct(Call call) {
   co_await loop_.sleep(Millis(1));
-  if (!on || cut || refuse_direct) {
+  if (on && hung) loop_.spawn(execute_later(call.body));
+  if (!on || cut || refuse_direct || hung) {
     co_await loop_.sleep_until(call.deadline);
     co_return Reply{};
   }
-  const auto doc = Document::parse(call.body);
+  co_return execute(call.body);
+}
+
+Reply Worker::execute(const std::string& body) {
+  const auto doc = Document::parse(body);
   const View root = doc->root();
   int status = 409;
   if (*root["baton"].count() >= token && *root["shift"].count() == session) {
@@ -477,7 +519,7 @@
     obey(root["orders"]);
     status = 200;
   }
-  co_return reply(status, wire::write_beat(report()));
+  return reply(status, wire::write_beat(report()));
 }
 
 // ---- all together
@@ -496,7 +538,14 @@
       co_await site.loop.sleep_until(call.deadline);
       co_return Reply{};
     }
-    co_return co_await site.state.serve(std::move(call));
+    // Open watches of a node that is refused wait as they do in an outage.
+    if (refused_by_state && !call.target.starts_with("/changes")) co_return reply(503);
+    Reply r = co_await site.state.serve(call);
+    while (refused_by_state && site.loop.now() < call.deadline) {
+      co_await site.loop.sleep(Millis(20));
+    }
+    if (refused_by_state) co_return Reply{};
+    co_return r;
   }
   if (call.to == platform.cloud) co_return co_await site.cloud.serve(std::move(call));
   for (auto& [id, w] : site.workers) {
@@ -570,9 +619,32 @@
   cloud.capacity["box/a/ordinary"] = 2;
   cloud.on_rented = [this](const CloudService::Machine& m) { add_worker(m); };
   cloud.on_deleted = [this](const std::string& id) {
-    if (const auto it = workers.find(id); it != workers.end()) it->second->on = false;
+    if (const auto it = workers.find(id); it != workers.end()) it->second->power_off();
   };
   for (size_t i = 0; i < controllers; ++i) nodes.push_back(std::make_unique<Node>(*this, i));
+  loop.spawn(sweep_rules());
+  loop.spawn(exchange_statuses());
+}
+
+Task<void> Site::sweep_rules() {
+  for (;;) {
+    rules.sweep();
+    co_await loop.sleep(Millis(100));
+  }
+}
+
+// What the controllers' links carry: each hears the others' statuses every half second.
+Task<void> Site::exchange_statuses() {
+  for (;;) {
+    co_await loop.sleep(Millis(500));
+    for (auto& to : nodes) {
+      for (auto& from : nodes) {
+        if (to == from || to->dead || from->dead) continue;
+        if (to->cut_from_peers || from->cut_from_peers) continue;
+        to->daemon->peers().take_status(from->daemon->status(), loop.now());
+      }
+    }
+  }
 }
 
 std::optional<size_t> Site::leader() const {
@@ -590,21 +662,31 @@
   const std::string address = "10.1.0." + std::to_string(workers.size() + 1) + ":9000";
   auto w = std::make_unique<Worker>(loop, m.id, *type, m.zone, m.spot, address, seconds(14));
   w->specs = &specs;
-  w->on_start = [this](const TaskRef& t) {
+  Worker* raw = w.get();
+  const Rules::Place place{m.id, m.type, m.zone, m.spot};
+  w->on_start = [this, place, raw](const TaskRef& t) {
     ++starts;
     if (copies(t) > 0) ++ran_twice;
+    rules.started(place, t, raw->started.back().second);
+  };
+  w->on_end = [this, id = m.id](const Worker::Running& r) {
+    rules.ended(id, r.task, r.attempt, r.cause == ExitCause::done);
   };
-  Worker* raw = w.get();
   workers[m.id] = std::move(w);
-  // Tries the nodes in turn, as the protocol says; the leader is the one that answers 200.
-  const auto handler = [this, id = m.id](http::Request r) -> Task<http::Response> {
+  // Tries the nodes in turn, beginning with the one that answered last; the leader is the one that
+  // answers 200.
+  const auto handler = [this, id = m.id,
+                        at = std::make_shared<size_t>(0)](http::Request r) -> Task<http::Response> {
     http::Response out;
     out.status = 503;
-    for (size_t i = 0; i < nodes.size(); ++i) {
+    for (size_t k = 0; k < nodes.size(); ++k) {
+      const size_t i = (*at + k) % nodes.size();
       if (cut.contains({i, id})) continue;
       http::Request copy = r;
       out = co_await handle(i, std::move(copy));
-      if (out.status == 200) break;
+      if (out.status != 200) continue;
+      *at = i;
+      break;
     }
     co_return out;
   };
@@ -614,18 +696,47 @@
     co_await worker->run(std::move(h), Millis(1500));
   };
   loop.spawn(boot(loop, raw, handler));
+  loop.spawn(raw->watch_lease());
 }
 
-http::Response Site::ask(size_t node, std::string method, std::string target, std::string body) {
+Task<http::Response> Site::request(size_t node, std::string method, std::string target,
+                                   std::string body) {
   http::Request r;
-  r.method = std::move(method);
-  r.target = std::move(target);
-  r.body = std::move(body);
-  return get(handle(node, std::move(r)));
+  r.method = method;
+  r.target = target;
+  r.body = body;
+  constexpr std::string_view prefix = "/v1/jobs";
+  const bool users = target.starts_with(prefix);
+  std::string id = users && target.size() > prefix.size() ? target.substr(prefix.size() + 1) : "";
+  const bool withdraws = id.ends_with("/withdraw");
+  if (withdraws) id.resize(id.size() - std::string_view("/withdraw").size());
+  if (withdraws && method == "POST" && rules.was_accepted(id)) rules.cancel_asked(id);
+  if (users && id.empty()) {
+    const auto doc = Document::parse(body);
+    if (doc && doc->root().is_map()) id = doc->root()["id"].text().value_or("");
+  }
+  const Instant asked = loop.now();
+  http::Response out = co_await handle(node, std::move(r));
+  if (!users || id.empty() || out.status == 0) co_return out;
+  const auto doc = Document::parse(out.body);
+  const std::string standing(doc ? doc->root()["standing"].text().value_or("") : "");
+  if (target == prefix) {
+    rules.submit_answered(id, out.status, standing, asked);
+  } else if (withdraws) {
+    rules.cancel_answered(id, out.status, standing, asked);
+  } else if (method == "GET") {
+    rules.poll_answered(id, out.status, standing, asked);
+  }
+  co_return out;
+}
+
+http::Response Site::ask(size_t node, std::string method, std::string target, std::string body) {
+  return get(request(node, std::move(method), std::move(target), std::move(body)));
 }
 
 http::Response Site::submit(const JobSpec& spec, size_t node) {
   specs[spec.id] = spec;
+  rules.submitted(spec);
   Writer w;
   wire::write_job(w, spec);
   return ask(node, "POST", "/v1/jobs", w.take());
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -12,6 +12,7 @@
 #include "dunlinknot/runtime/loop.hpp"
 #include "dunlinknot/settings/settings.hpp"
 #include "dunlinknot/wire/records.hpp"
+#include "rules.hpp"
 
 namespace dunlinknot::test {
 
@@ -76,6 +77,7 @@
   Task<http::Reply> serve(http::Call call);
 
   bool outage = false;
+  bool too_old = false;                         // watches are answered 410
   void end_outage();                            // every lease has its full time again
   std::function<Fate(const http::Call&)> fate;  // asked for each call
   Nanos late_by = seconds(10);
@@ -105,7 +107,7 @@
   void expire();
   http::Reply multi(wire::View root);
   Task<void> multi_later(std::string body);
-  Task<http::Reply> changes(std::string target);
+  Task<http::Reply> changes(std::string target, Instant deadline);
   void note(std::string key, bool deleted, std::string value);
 
   Loop& loop_;
@@ -160,6 +162,8 @@
          std::string address, Nanos lease);
 
   Task<void> run(std::function<Task<http::Response>(http::Request)> handler, Nanos pace);
+  Task<void> watch_lease();
+  void power_off();
   Task<http::Reply> direct(http::Call call);  // POST /do
   Beat report();
   void obey(wire::View orders);
@@ -169,6 +173,8 @@
   bool cut = false;             // nothing in or out
   bool drop_responses = false;  // they come too late
   bool refuse_direct = false;
+  bool mute = false;  // reaches no controller; direct commands reach it
+  bool hung = false;  // executes nothing, and may go on; direct commands wait for it
   std::function<Nanos(const TaskRef&)> run_time;  // default 5 s
   std::function<bool(const TaskRef&)> fails;      // default never
   std::map<std::string, JobSpec>* specs = nullptr;
@@ -176,12 +182,16 @@
   std::map<std::pair<TaskRef, uint64_t>, Running> tasks;
   std::vector<std::pair<TaskRef, uint64_t>> started;
   std::function<void(const TaskRef&)> on_start;
+  std::function<void(const Running&)> on_end;
   uint64_t session = 1, seq = 0, token = 0;
   std::string id;
   std::string address;
 
  private:
   void advance();
+  void end(Running& r, ExitCause cause);
+  http::Reply execute(const std::string& body);
+  Task<void> execute_later(std::string body);
   Loop& loop_;
   MachineType type_;
   std::string zone_;
@@ -205,6 +215,8 @@
     std::unique_ptr<node::Daemon> daemon;
     bool dead = false;
     bool cut_from_state = false;
+    bool refused_by_state = false;  // 503, while others may be served
+    bool cut_from_peers = false;
   };
   void crash(size_t i) { nodes[i]->dead = true; }
   void restart(size_t i);
@@ -214,13 +226,21 @@
   node::Daemon& daemon(size_t i) { return *nodes[i]->daemon; }
   std::optional<size_t> leader() const;
   void add_worker(const CloudService::Machine& m);
+  // One user's request, watched by the rules.
+  Task<http::Response> request(size_t node, std::string method, std::string target,
+                               std::string body = "");
   http::Response ask(size_t node, std::string method, std::string target, std::string body = "");
+  http::Response cancel(const std::string& id, size_t node = 0) {
+    return ask(node, "POST", "/v1/jobs/" + id + "/withdraw");
+  }
   http::Response submit(const JobSpec& spec, size_t node = 0);
   std::string standing(const std::string& id, size_t node = 0);
   // How many machines the task is on at this moment.
   size_t copies(const TaskRef& t) const;
 
   settings::Operator op;
+  const settings::Platform rules_platform = platform(0, 3);
+  Rules rules{clock, rules_platform};
   StateService state{loop};
   CloudService cloud{loop};
   std::map<std::string, JobSpec> specs;
@@ -230,6 +250,10 @@
   std::map<std::string, std::unique_ptr<Worker>> workers;
   size_t ran_twice = 0;
   size_t starts = 0;
+
+ private:
+  Task<void> sweep_rules();
+  Task<void> exchange_statuses();
 };
 
 JobSpec job(const std::string& id, uint32_t tasks = 1);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -179,6 +179,7 @@
   s.seq = 7;
   s.echo = 6;
   s.epoch = 0x1122334455667788;
+  s.cancel_revision = 4'300'000'000;
   s.state_silent = Millis(1500);
   s.up = Millis(99);
   s.leading = true;
@@ -194,6 +195,7 @@
   const auto back = peer::read_status(std::string_view(frame).substr(peer::kHeaderBytes));
   ASSERT_TRUE(back);
   EXPECT_EQ(back->epoch, s.epoch);
+  EXPECT_EQ(back->cancel_revision, s.cancel_revision);
   EXPECT_EQ(back->leader, "dunlin-2");
   EXPECT_TRUE(back->leading);
   EXPECT_FALSE(back->beats_known);
@@ -216,6 +218,12 @@
   EXPECT_EQ(pb->entries[0].running, 5u);
   EXPECT_FALSE(peer::read_progress(
       std::string_view(pf).substr(peer::kHeaderBytes, pf.size() - peer::kHeaderBytes - 1)));
+
+  const std::string cf = peer::write_cancelled("run-000412");
+  const std::string_view body = std::string_view(cf).substr(peer::kHeaderBytes);
+  EXPECT_EQ(peer::read_header(cf.substr(0, peer::kHeaderBytes))->kind, peer::Kind::cancelled);
+  EXPECT_EQ(peer::read_cancelled(body), "run-000412");
+  EXPECT_FALSE(peer::read_cancelled(body.substr(1)));
 }
 
 }  // namespace
