--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -13,6 +13,10 @@
   for (const auto& b : s.rules.broken()) ADD_FAILURE() << b;
 }
 
+bool is_commit_of(const http::Call& c, std::string_view key) {
+  return c.target == "/multi" && c.body.find(key) != std::string::npos;
+}
+
 // A job of long tasks, running, with a leader and two other nodes.
 struct Gap : testing::Test {
   Site s{3};
@@ -221,16 +225,120 @@
 }
 
 TEST(Meetings, AnAnswerOlderThanAJobsEndDoesNotBringItBack) {
-  // The record is read, the cancellation is heard of, and only then the read's answer arrives.
+  // Its progress was written with an unknown outcome, so the leader reads its record; it is
+  // cancelled while that answer is under way.
   Site s(1);
   s.run_for(seconds(2));
   s.submit(job("run-000001", 2));
-  s.run_for(seconds(1));
-  auto& d = s.daemon(0).domain();
-  ASSERT_EQ(s.cancel("run-000001").status, 200);
-  s.run_for(seconds(1));
-  d.picture.with([&](cluster::Picture& p) { EXPECT_EQ(p.cluster.job("run-000001"), nullptr); });
-  EXPECT_EQ(s.state.data.count("job/run-000001"), 0u);
+  while (s.workers.empty()) s.run_for(Millis(50));
+  for (auto& [id, w] : s.workers) {
+    w->run_time = [](const TaskRef& t) { return seconds(t.index == 0 ? 5 : 300); };
+  }
+  bool lost = false, read = false;
+  s.state.late_by = Millis(900);
+  s.state.fate = [&](const http::Call& c) {
+    if (!lost && is_commit_of(c, "done/run-000001")) {
+      lost = true;
+      return Fate::lose_reply;
+    }
+    if (lost && !read && c.target == "/keys/job/run-000001") {
+      read = true;
+      return Fate::slow_reply;
+    }
+    return Fate::normal;
+  };
+  while (!read && s.clock.now() < Instant(seconds(1100))) s.run_for(Millis(20));
+  ASSERT_TRUE(read);
+  s.run_for(Millis(50));
+  s.state.erase("job/run-000001");
+  s.state.put("final/run-000001", wire::write_final({true, 2}));
+  s.run_for(Millis(100));
+  size_t back = 0;
+  for (int k = 0; k < 100; ++k) {
+    s.run_for(Millis(20));
+    s.daemon(0).domain().picture.with(
+        [&](cluster::Picture& p) { back += p.cluster.job("run-000001") ? 1 : 0; });
+  }
+  EXPECT_EQ(back, 0u);
+  s.run_for(seconds(10));
+  EXPECT_EQ(s.copies({"run-000001", 1}), 0u);
+}
+
+TEST(Meetings, CancellationsQuestionsAndRepeatsMeetTheEndOfAJobsLastTask) {
+  // On all nodes at once, from well before the end to well after it.
+  Site s(3);
+  s.run_for(seconds(2));
+  for (int i = 0; i < 40; ++i) {
+    const JobSpec j = job("run-0000" + std::to_string(10 + i));
+    ASSERT_TRUE(s.submit(j, 1).status / 100 == 2);
+    while (s.copies({j.id, 0}) == 0) s.run_for(Millis(50));
+    s.run_for(Millis(4500 + 40 * i));
+    wire::Writer w;
+    wire::write_job(w, j);
+    const std::string body = w.take();
+    const auto one = [](Site& site, size_t node, std::string method, std::string target,
+                        std::string b) -> Task<void> {
+      (void)co_await site.request(node, std::move(method), std::move(target), std::move(b));
+    };
+    for (size_t n = 0; n < 3; ++n) {
+      s.loop.spawn(one(s, n, "POST", "/v1/jobs/" + j.id + "/withdraw", ""));
+      s.loop.spawn(one(s, n, "GET", "/v1/jobs/" + j.id, ""));
+      s.loop.spawn(one(s, n, "POST", "/v1/jobs", body));
+    }
+    s.run_for(Millis(300));
+    const std::string told = s.standing(j.id, 0);
+    EXPECT_TRUE(told == "done" || told == "cancelled") << told;
+    EXPECT_EQ(s.standing(j.id, 1), told);
+    EXPECT_EQ(s.standing(j.id, 2), told);
+  }
+  s.run_for(seconds(60));
+  expect_rules(s);
+}
+
+TEST(Meetings, ATeamAtItsLimitWhoseMachineCannotBeAskedWhenTheLeaderChanges) {
+  Site s(3);
+  s.cloud.capacity["box/a/ordinary"] = 4;
+  s.run_for(seconds(2));
+  JobSpec first = job("run-000001", 2);
+  first.team = "tiny";  // 4 cpus at most, a task takes 2
+  ASSERT_EQ(s.submit(first).status, 201);
+  while (s.workers.empty()) s.run_for(Millis(100));
+  for (auto& [id, w] : s.workers) w->run_time = [](const TaskRef&) { return seconds(300); };
+  s.run_for(seconds(12));
+  ASSERT_EQ(s.starts, 2u);
+  for (auto& [id, w] : s.workers) w->cut = true;
+  const size_t old = *s.leader();
+  s.crash(old);
+  ASSERT_EQ(s.cancel(first.id, (old + 1) % 3).status, 200);
+  JobSpec next = job("run-000002", 2);
+  next.team = "tiny";
+  ASSERT_EQ(s.submit(next, (old + 1) % 3).status, 201);
+  s.run_for(seconds(10));
+  EXPECT_EQ(s.starts, 2u) << "the cancelled tasks may still be there, and count";
+  s.run_for(seconds(110));
+  EXPECT_EQ(s.standing(next.id, (old + 1) % 3), "done");
+  expect_rules(s);
+}
+
+TEST(Meetings, TasksOfOneJobEndFarApartAcrossChangesOfLeader) {
+  Site s(3);
+  s.cloud.capacity["box/a/ordinary"] = 4;
+  s.run_for(seconds(2));
+  ASSERT_EQ(s.submit(job("run-000001", 3)).status, 201);
+  while (s.workers.empty()) s.run_for(Millis(100));
+  for (auto& [id, w] : s.workers) {
+    w->run_time = [](const TaskRef& t) { return seconds(5 + 20 * t.index); };
+  }
+  for (int change = 0; change < 10; ++change) {  // ten in two minutes, some inside an outage
+    s.run_for(seconds(8));
+    s.state.outage = change % 3 == 1;
+    s.restart(s.leader().value_or(0));
+    s.run_for(seconds(4));
+    if (s.state.outage) s.state.end_outage();
+  }
+  s.run_for(seconds(20));
+  EXPECT_EQ(s.standing("run-000001"), "done");
+  EXPECT_EQ(s.starts, 3u) << "nothing was run again";
   expect_rules(s);
 }
 
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -257,6 +257,7 @@
     w.key("more").flag(more).key("ledgerRev").count(revision_);
     out = reply(200, w.take());
   }
+  if (f == Fate::slow_reply) co_await loop_.sleep(late_by);
   if (f == Fate::lose_reply) {
     co_await loop_.sleep_until(call.deadline);
     co_return Reply{};
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -69,7 +69,7 @@
 };
 
 // What happens to one call on its way.
-enum class Fate { normal, refuse, lose_request, lose_reply, apply_late };
+enum class Fate { normal, refuse, lose_request, lose_reply, slow_reply, apply_late };
 
 class StateService {
  public:
