Tests: one expect_rules and one is_commit_of for all scenarios; unused parts of the checker gone

Both stood in the scenario and the meetings tests; the meetings' copy now asserts ran_twice as well. Rules::machine_gone was called by nobody: a machine that goes ends its tasks one by one.

--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -9,14 +9,6 @@
 namespace dunlinknot::test {
 namespace {
 
-void expect_rules(const Site& s) {
-  for (const auto& b : s.rules.broken()) ADD_FAILURE() << b;
-}
-
-bool is_commit_of(const http::Call& c, std::string_view key) {
-  return c.target == "/multi" && c.body.find(key) != std::string::npos;
-}
-
 // A job of long tasks, running, with a leader and two other nodes.
 struct Gap : testing::Test {
   Site s{3};
--- a/tests/rules.cpp
+++ b/tests/rules.cpp
@@ -72,10 +72,6 @@
   }
 }
 
-void Rules::machine_gone(const std::string& machine) {
-  std::erase_if(running_, [&](const Running& r) { return r.at.machine == machine; });
-}
-
 void Rules::sweep() {
   for (const Running& r : running_) {
     JobState& j = jobs_[r.task.job];
--- a/tests/rules.hpp
+++ b/tests/rules.hpp
@@ -24,7 +24,6 @@
   // --- machines
   void started(const Place& at, const TaskRef& task, uint64_t attempt);
   void ended(const std::string& machine, const TaskRef& task, uint64_t attempt, bool completed);
-  void machine_gone(const std::string& machine);
   // --- users; `asked`: when the request was sent
   void submitted(const JobSpec& job) { jobs_[job.id].spec = job; }
   void submit_answered(const std::string& id, int status, const std::string& standing,
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -6,16 +6,6 @@
 namespace dunlinknot::test {
 namespace {
 
-bool is_commit_of(const http::Call& c, std::string_view key) {
-  return c.target == "/multi" && c.body.find(key) != std::string::npos;
-}
-
-// Everything a day may not do, as far as this world can see it.
-void expect_rules(const Site& s) {
-  EXPECT_EQ(s.ran_twice, 0u);
-  for (const auto& b : s.rules.broken()) ADD_FAILURE() << b;
-}
-
 TEST(Api, AnswersAsTheProtocolSays) {
   Site s;
   EXPECT_EQ(s.ask(0, "GET", "/ready").status, 503) << "the machine types are not known yet";
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -1,5 +1,7 @@
 #include "support.hpp"
 
+#include <gtest/gtest.h>
+
 #include <charconv>
 
 namespace dunlinknot::test {
@@ -388,17 +390,19 @@
   }
 }
 
-void Worker::power_off() {
-  on = false;
+void Worker::end_all() {
   for (auto& [key, t] : tasks) {
     if (t.state != TaskState::exited) end(t, ExitCause::none);
   }
 }
 
+void Worker::power_off() {
+  on = false;
+  end_all();
+}
+
 void Worker::lose_lease() {
-  for (auto& [key, t] : tasks) {
-    if (t.state != TaskState::exited) end(t, ExitCause::none);
-  }
+  end_all();
   tasks.clear();
   ++session;
   answered_sent_ = loop_.now();
@@ -765,6 +769,15 @@
   return n;
 }
 
+bool is_commit_of(const Call& c, std::string_view key) {
+  return c.target == "/multi" && c.body.find(key) != std::string::npos;
+}
+
+void expect_rules(const Site& s) {
+  EXPECT_EQ(s.ran_twice, 0u);
+  for (const auto& b : s.rules.broken()) ADD_FAILURE() << b;
+}
+
 JobSpec job(const std::string& id, uint32_t tasks) {
   JobSpec j;
   j.id = id;
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -190,6 +190,7 @@
  private:
   void advance();
   void end(Running& r, ExitCause cause);
+  void end_all();
   http::Reply execute(const std::string& body);
   Task<void> execute_later(std::string body);
   Loop& loop_;
@@ -258,5 +259,9 @@
 };
 
 JobSpec job(const std::string& id, uint32_t tasks = 1);
+// A transaction that has to do with this key.
+bool is_commit_of(const http::Call& c, std::string_view key);
+// Fails the test that calls it with every rule that was broken in the scenario so far.
+void expect_rules(const Site& s);
 
 }  // namespace dunlinknot::test
