--- a/src/dunlinknot/cloud/client.cpp
+++ b/src/dunlinknot/cloud/client.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr auto kWithin = std::chrono::seconds(5);
-constexpr size_t kBody = 256 * 1024;
+constexpr size_t kBody = size_t{256} * 1024;
 }  // namespace
 
 Client::Client(Loop& loop, http::Transport& transport, http::Endpoint at, double rps)
--- /dev/null
+++ b/src/dunlinknot/cluster/bookings.cpp
@@ -0,0 +1,263 @@
+// Bookings: how they are made, stopped and ended, and what their end means for their gang.
+#include <algorithm>
+
+#include "dunlinknot/cluster/cluster.hpp"
+#include "dunlinknot/cluster/find.hpp"
+
+namespace dunlinknot::cluster {
+
+void Cluster::add_booking(Host& h, Booking b) {
+  if (b.ahead) {
+    ++h.ahead;
+  } else {
+    h.used += b.need;
+    if (b.team >= 0) usage_[static_cast<size_t>(b.team)].used += b.need;
+  }
+  if (Job* j = job(b.task.job); j && b.task.index < j->spec().tasks) {
+    j->booked(b.task.index);
+    if (b.ahead) ++j->ahead;
+    if (b.gang) j->gang_attempt = std::max(j->gang_attempt, b.attempt);
+  }
+  auto& holders = holders_[b.task.job];
+  if (std::find(holders.begin(), holders.end(), &h) == holders.end()) holders.push_back(&h);
+  h.bookings.push_back(std::move(b));
+}
+
+const std::vector<Host*>& Cluster::holders(const std::string& job) const {
+  static const std::vector<Host*> none;
+  const auto it = holders_.find(job);
+  return it == holders_.end() ? none : it->second;
+}
+
+Needs Cluster::end_booking(Host& h, size_t i, Instant now, bool gang_goes_on) {
+  Needs needs;
+  const Booking b = std::move(h.bookings[i]);
+  h.bookings.erase(h.bookings.begin() + static_cast<ptrdiff_t>(i));
+  if (b.ahead) {
+    --h.ahead;
+  } else {
+    h.used -= b.need;
+    if (b.team >= 0) usage_[static_cast<size_t>(b.team)].used -= b.need;
+  }
+  if (h.bookings.empty()) {
+    h.used = Resources{};
+    h.idle_since = now;
+  }
+  if (!find_where(h.bookings, [&](const Booking& o) { return o.task.job == b.task.job; })) {
+    const auto holders = holders_.find(b.task.job);
+    std::erase(holders->second, &h);
+    if (holders->second.empty()) holders_.erase(holders);
+  }
+  h.trailing = true;
+  needs.schedule = true;
+  Job* j = job(b.task.job);
+  if (!j || b.task.index >= j->spec().tasks) return needs;
+  if (b.ahead) --j->ahead;
+  if (b.state == TaskState::running && j->running > 0) --j->running;
+  j->unbooked(b.task.index);
+  if (!j->is_done(b.task.index)) j->waiting_since = now;
+  if (b.gang && !gang_goes_on && !j->is_done(b.task.index)) {
+    break_gang(b.task.job, b.attempt, now, needs);
+  }
+  return needs;
+}
+
+// A gang that lost a task will not go on: the rest is stopped at once rather than left to find out,
+// so that the next attempt need not wait for it. A gang told to save is left to its saving.
+void Cluster::break_gang(const std::string& id, uint64_t attempt, Instant now, Needs& needs) {
+  for (Host* h : std::vector(holders(id))) {
+    for (size_t i = h->bookings.size(); i-- > 0;) {
+      if (i >= h->bookings.size()) continue;
+      Booking& b = h->bookings[i];
+      if (b.task.job != id || b.attempt != attempt) continue;
+      if (b.unsent()) {
+        needs |= end_booking(*h, i, now, true);
+      } else if (!b.stopping()) {
+        stop(*h, b, StopReason::gang_broken, Seconds(0), now);
+        needs.stops = true;
+      }
+    }
+  }
+}
+
+Booking& Cluster::book(Host& h, Job& j, uint32_t index, uint64_t attempt, Instant now) {
+  add_booking(h, booking_of(h, j, index, attempt, now));
+  return h.bookings.back();
+}
+
+Booking& Cluster::book_ahead(Host& h, Job& j, uint32_t index, uint64_t attempt, Turn turn,
+                             Instant now) {
+  Booking b = booking_of(h, j, index, attempt, now);
+  b.ahead = true;
+  b.turn = turn;
+  add_booking(h, std::move(b));
+  return h.bookings.back();
+}
+
+Booking Cluster::booking_of(Host& h, const Job& j, uint32_t index, uint64_t attempt, Instant now) {
+  Booking b;
+  b.task = TaskRef{j.spec().id, index};
+  b.attempt = attempt;
+  b.team = j.team();
+  b.team_name = j.spec().team;
+  b.need = j.spec().need;
+  b.image = j.spec().image;
+  b.estimate = j.spec().estimate;
+  b.gang = j.spec().gang;
+  b.priority = j.spec().priority;
+  b.placed_at = now;
+  note_image(h, j);
+  mark_dirty(h, b.gang);
+  return b;
+}
+
+bool Cluster::take_back_ahead(const std::string& id, Instant now) {
+  Host* most = nullptr;
+  for (Host* h : holders(id)) {
+    const bool any =
+        find_where(h->bookings, [&](const Booking& b) { return b.ahead && b.task.job == id; });
+    if (any && (!most || h->ahead > most->ahead)) most = h;
+  }
+  if (!most) return false;
+  for (size_t i = most->bookings.size(); i-- > 0;) {
+    const Booking& b = most->bookings[i];
+    if (!b.ahead || b.task.job != id) continue;
+    (void)end_booking(*most, i, now);
+    return true;
+  }
+  return false;
+}
+
+void Cluster::set_held(const std::map<std::string, Resources>& by_host,
+                       std::vector<Resources> by_team) {
+  for (Host* h : held_hosts_) h->held = Resources{};
+  held_hosts_.clear();
+  for (const auto& [id, room] : by_host) {
+    Host* h = host(id);
+    if (!h) continue;
+    h->held = room;
+    held_hosts_.push_back(h);
+  }
+  saved_ = std::move(by_team);
+}
+
+// The room that a task leaves is taken at once by one that waits for it on the machine: its booking
+// stands already, so its `run` goes out with the answer to the very report that told of the room.
+void Cluster::promote_ahead(Host& h, Instant now) {
+  if (h.ahead == 0) return;
+  std::vector<Booking*> waiting;
+  for (Booking& b : h.bookings) {
+    if (b.ahead && b.phase == Phase::durable) waiting.push_back(&b);
+  }
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [](const Booking* a, const Booking* b) { return a->turn.before(b->turn); });
+  for (Booking* b : waiting) {
+    Job* j = job(b->task.job);
+    if (!j || j->is_done(b->task.index) || now < j->not_before) continue;
+    // Work without accelerators leaves beside each free one what its next task will need.
+    Resources room = h.free() - h.held;
+    if (b->need.gpus <= 0 && h.free().gpus > 0) room -= beside_gpu_ * h.free().gpus;
+    if (!b->need.fits_in(room)) continue;
+    if (b->team >= 0) {
+      // Safety 4: its team's limit counts it from here on.
+      const auto t = static_cast<size_t>(b->team);
+      Resources used = usage_[t].used + b->need;
+      if (t < saved_.size()) used += saved_[t];
+      const auto over = [](double most, double in_use, double need) {
+        return most > 0 && need > 0 && in_use > most + Resources::kSlack;
+      };
+      const auto& team = platform_.teams[t];
+      if (over(team.cpus_max, used.cpus, b->need.cpus)) continue;
+      if (over(team.gpus_max, used.gpus, b->need.gpus)) continue;
+      usage_[t].used += b->need;
+    }
+    b->ahead = false;
+    --h.ahead;
+    --j->ahead;
+    h.used += b->need;
+  }
+}
+
+void Cluster::note_image(Host& h, const Job& j) {
+  const std::string& image = j.spec().image;
+  std::erase_if(h.images, [&](const auto& i) { return i.name == image; });
+  h.images.push_back({image, j.spec().image_gb});
+  double total = 0;
+  for (const auto& i : h.images) total += i.gb;
+  while (h.images.size() > 1 && total > h.cache_gb) {
+    total -= h.images.front().gb;
+    h.images.erase(h.images.begin());
+  }
+}
+
+void Cluster::stop(Host& h, Booking& b, StopReason reason, Seconds grace, Instant now) {
+  if (b.stopping() && b.grace <= grace) return;  // never milder than it was told before
+  b.stop = reason;
+  b.grace = grace;
+  b.stop_at = now;
+  if (std::find(stop_hosts_.begin(), stop_hosts_.end(), h.id) == stop_hosts_.end()) {
+    stop_hosts_.push_back(h.id);
+  }
+}
+
+Needs Cluster::preempt(Host& h, const TaskRef& task, uint64_t attempt, Instant now) {
+  Needs needs;
+  Booking* b = h.find(task, attempt);
+  if (!b || b->stopping()) return needs;
+  if (b->unsent()) {
+    // No worker will ever report it, so nothing would end it once it counted as being stopped.
+    return end_booking(h, static_cast<size_t>(b - h.bookings.data()), now);
+  }
+  const Job* j = job(task.job);
+  const bool saves = j && j->spec().checkpoint > Seconds(0);
+  stop(h, *b, StopReason::preempted, saves ? j->spec().save + Seconds(1) : Seconds(0), now);
+  needs.stops = true;
+  return needs;
+}
+
+Needs Cluster::drop_unsent(const std::string& id, Instant now) {
+  Needs needs;
+  for (Host* h : std::vector(holders(id))) {
+    for (size_t i = h->bookings.size(); i-- > 0;) {
+      if (i >= h->bookings.size()) continue;
+      const Booking& b = h->bookings[i];
+      if (b.task.job == id && b.phase == Phase::planned) needs |= end_booking(*h, i, now);
+    }
+  }
+  return needs;
+}
+
+std::vector<StopCall> Cluster::take_stop_calls() {
+  std::vector<StopCall> calls;
+  for (const auto& id : stop_hosts_) {
+    Host* h = host(id);
+    if (!h || h->address.empty() || !h->heard || h->lost) continue;
+    StopCall call{h->id, h->address, h->session, {}};
+    for (const Booking& b : h->bookings) {
+      if (b.stopping() && !b.unsent()) {
+        call.commands.push_back({Command::Op::stop, b.task, b.attempt, b.grace});
+      }
+    }
+    if (!call.commands.empty()) calls.push_back(std::move(call));
+  }
+  stop_hosts_.clear();
+  return calls;
+}
+
+void Cluster::stop_gang(const std::string& id, uint64_t attempt, Seconds grace, Instant now) {
+  for (Host* h : holders(id)) {
+    for (Booking& b : h->bookings) {
+      if (b.task.job == id && b.attempt == attempt && !b.stopping()) {
+        stop(*h, b, StopReason::recall, grace, now);
+      }
+    }
+  }
+}
+
+size_t Cluster::booking_count() const {
+  size_t n = 0;
+  for (const auto& [id, h] : hosts_) n += h->bookings.size();
+  return n;
+}
+
+}  // namespace dunlinknot::cluster
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -231,7 +231,7 @@
   // Takes one of the job's tasks that wait on some machine back, so that it can go elsewhere.
   bool take_back_ahead(const std::string& job, Instant now);
   // What ahead tasks must leave free: on machines, and of teams' limits.
-  void set_held(std::map<std::string, Resources> by_host, std::vector<Resources> by_team);
+  void set_held(const std::map<std::string, Resources>& by_host, std::vector<Resources> by_team);
   void stop(Host& host, Booking& booking, StopReason reason, Seconds grace, Instant now);
   // Gives a booking up for another: undone at once if its `run` never went out, else stopped.
   Needs preempt(Host& host, const TaskRef& task, uint64_t attempt, Instant now);
@@ -277,6 +277,11 @@
   bool sendable(const Booking& b) const;
   bool fresh(Host& h, const Beat& b) const;
   void take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs);
+  void take_host_state(Host& h, const Beat& b, Instant now, bool complete, Needs& needs);
+  Needs end_bookings_before(Host& h, uint64_t session, Instant now);
+  Booking& book_orphan(Host& h, const TaskReport& task, const Job* j, Instant now);
+  bool take_task(Host& h, const TaskReport& t, Instant now, Needs& needs);
+  bool end_unlisted(Host& h, const Beat& b, Instant now, Needs& needs);
   void note_image(Host& h, const Job& job);
   int team_index(std::string_view name) const;
   Instant silent_until(const Host& h) const;
--- a/src/dunlinknot/cluster/ledger.hpp
+++ b/src/dunlinknot/cluster/ledger.hpp
@@ -1,9 +1,11 @@
 // The leader's writing in the state service: bookings before their `run`, completions before they
 // are told or forgotten. Every transaction guards `epoch` and the stamps of what it changes.
 #pragma once
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 
 #include "dunlinknot/cluster/domain.hpp"
 #include "dunlinknot/state/client.hpp"
@@ -30,11 +32,34 @@
   uint64_t jobs_revision() const { return jobs_revision_; }
 
  private:
+  static constexpr Millis kCommitTime{1200};  // for one call of the state service
+  static constexpr Millis kRetry{120};        // after a call that was refused or got no answer
   struct HostWrite {
     std::string id;
     uint64_t stamp = 0;
     wire::HostRecord record;
   };
+  struct HostBatch {  // one transaction over the records of machines
+    std::vector<HostWrite> hosts;
+    std::set<std::string> jobs;  // with new bookings there: their records are guarded
+    size_t bytes = 0;
+    state::Txn txn;
+  };
+  struct ChunkWrite {
+    std::string job;
+    uint32_t chunk = 0;
+    std::vector<bool> bits;
+  };
+  struct FinishedJob {
+    std::string job;
+    uint32_t tasks = 0;
+  };
+  struct ProgressBatch {  // one transaction over the progress and the ends of jobs
+    std::vector<ChunkWrite> chunks;
+    std::vector<FinishedJob> finished;
+    std::set<std::string> jobs;
+    state::Txn txn;
+  };
   using Visit = std::function<void(const state::Item&)>;
   struct Reading {  // of a listing's first page: what it shows is at least this new
     uint64_t revision = 0;
@@ -42,8 +67,17 @@
   };
   Task<bool> list_all(uint64_t reign, std::string prefix, Visit visit, Reading& reading);
   Task<void> refresh_hosts(uint64_t reign);
+  size_t max_ops() const { return std::min<size_t>(domain_.platform.txn_ops, 16); }
+  bool add_host(HostBatch& batch, const Cluster& cluster, Host& h) const;
+  HostBatch collect_hosts(Cluster& cluster, bool trailing) const;
+  Needs take_hosts_result(Cluster& cluster, const HostBatch& batch, const state::TxnResult& r,
+                          std::vector<std::string>& recheck);
   Task<bool> store_some_hosts(uint64_t reign, bool trailing);
   Task<bool> delete_some_records(uint64_t reign);
+  ProgressBatch collect_progress(const Cluster& cluster, bool partial) const;
+  void progress_stored(const ProgressBatch& batch, uint64_t revision);
+  Task<bool> reread_progress(uint64_t reign, const ProgressBatch& batch, const state::TxnResult& r);
+  void pause_partial();
   Task<bool> store_some_done(uint64_t reign);
   Task<void> recheck_job(uint64_t reign, std::string id);
   Task<bool> relist_jobs(uint64_t reign);
--- /dev/null
+++ b/src/dunlinknot/cluster/ledger_hosts.cpp
@@ -0,0 +1,226 @@
+// The ledger's machine records: bookings are durable before their `run` goes out.
+#include <algorithm>
+#include <set>
+
+#include "dunlinknot/cluster/ledger.hpp"
+
+namespace dunlinknot::cluster {
+
+namespace {
+
+using http::Outcome;
+
+constexpr auto kTrailing = std::chrono::seconds(4);
+constexpr size_t kTxnBytes = size_t{40} * 1024;
+constexpr size_t kGuardsPerWrite = 4;  // the state service's limit, in writes of a transaction
+constexpr double kApiReserve = 0.2;    // of the write budget's burst, left to the users' requests
+constexpr double kSlackLevel = 0.6;    // of the burst: what can wait is written above this
+
+}  // namespace
+
+Task<void> Ledger::store_hosts(uint64_t reign) {
+  Instant next_trailing = domain_.loop.now() + kTrailing;
+  while (domain_.in_reign(reign)) {
+    (void)co_await domain_.store_hosts.wait_until(next_trailing);
+    const bool trailing = domain_.loop.now() >= next_trailing;
+    if (trailing) next_trailing = domain_.loop.now() + kTrailing;
+    for (bool more = true; more && domain_.in_reign(reign);)
+      more = co_await store_some_hosts(reign, trailing);
+    if (trailing) {
+      for (bool more = true; more && domain_.in_reign(reign);)
+        more = co_await delete_some_records(reign);
+    }
+  }
+}
+
+// Machines whose record may have been changed by a transaction with an unknown outcome.
+Task<void> Ledger::refresh_hosts(uint64_t reign) {
+  stamps_unknown_ = false;
+  std::vector<std::string> ids = domain_.picture.with([](Picture& p) {
+    std::vector<std::string> out;
+    for (const auto& [id, h] : p.cluster.hosts()) {
+      if (!h->stamp_known) out.push_back(id);
+    }
+    return out;
+  });
+  for (const auto& id : ids) {
+    state::GetResult got = co_await state_.get(wire::host_key(id), kCommitTime);
+    if (!domain_.in_reign(reign)) co_return;
+    if (got.outcome != Outcome::ok) {
+      stamps_unknown_ = true;
+      continue;
+    }
+    Needs needs;
+    domain_.picture.with([&](Picture& p) {
+      Host* h = p.cluster.host(id);
+      if (!h) return;
+      // What the record says is what is durable, whichever attempt wrote it.
+      const auto record = got.found ? wire::read_host(got.item.value) : std::nullopt;
+      p.cluster.host_stored(*h, record.value_or(wire::HostRecord{}), got.found ? got.item.stamp : 0,
+                            needs);
+    });
+    domain_.follow_up(needs);
+  }
+}
+
+// The ledger keeps to what is left of the state service's budget, with a reserve for the users'
+// requests at this node: else the bookings of a large cluster crowd submissions out.
+Task<void> Ledger::await_budget(uint64_t reign, double writes) {
+  const double burst = state_.write_burst();
+  const double want = std::min(writes, burst / 4) + burst * kApiReserve;
+  while (domain_.in_reign(reign) && state_.write_level() < want) {
+    co_await domain_.loop.sleep(std::max<Nanos>(state_.writes_in(want), Millis(2)));
+  }
+}
+
+// Adds the machine's record to the transaction; false when it does not fit into it any more.
+bool Ledger::add_host(HostBatch& batch, const Cluster& cluster, Host& h) const {
+  HostWrite write{h.id, h.stamp, cluster.record_of(h)};
+  std::string value;
+  if (!write.record.groups.empty()) value = wire::write_host(write.record);
+  if (value.empty() && write.stamp == 0) {
+    h.dirty = h.trailing = false;
+    return true;
+  }
+  // Safety 3: a booking is refused when its job was cancelled or is over.
+  std::set<std::string> fresh;
+  for (const Booking& b : h.bookings) {
+    if (b.phase == Phase::planned && cluster.job(b.task.job)) fresh.insert(b.task.job);
+  }
+  const size_t guards = batch.txn.guards.size() + 1 + fresh.size() + batch.jobs.size();
+  if (guards > max_ops() * kGuardsPerWrite) return false;
+  batch.jobs.insert(fresh.begin(), fresh.end());
+  batch.bytes += value.size() * 2;
+  batch.txn.guards.push_back({wire::host_key(h.id), write.stamp});
+  batch.txn.writes.push_back({wire::host_key(h.id), std::move(value), 0});
+  h.storing = true;
+  batch.hosts.push_back(std::move(write));
+  return true;
+}
+
+// The records that wait to be written, as many as one transaction takes; with `trailing`, also
+// those that only shrank.
+Ledger::HostBatch Ledger::collect_hosts(Cluster& cluster, bool trailing) const {
+  HostBatch batch;
+  batch.txn.guards.push_back(epoch_guard());
+  const auto full = [&] { return batch.hosts.size() >= max_ops() || batch.bytes > kTxnBytes; };
+  auto& queue = cluster.dirty_hosts();
+  for (size_t left = queue.size(); left > 0 && !full(); --left) {
+    const std::string id = std::move(queue.front());
+    queue.pop_front();
+    Host* h = cluster.host(id);
+    if (!h) continue;
+    h->queued = false;
+    if (!h->dirty) continue;
+    if (!h->stamp_known || h->storing || !add_host(batch, cluster, *h)) cluster.mark_dirty(*h);
+  }
+  if (trailing && queue.empty()) {
+    for (auto& [id, h] : cluster.hosts()) {
+      if (full()) break;
+      const bool shrank = h->trailing && !h->dirty && h->stamp_known && !h->storing;
+      if (shrank && !add_host(batch, cluster, *h)) break;
+    }
+  }
+  for (const auto& id : batch.jobs) {
+    batch.txn.guards.push_back({wire::job_key(id), cluster.job(id)->stamp});
+  }
+  return batch;
+}
+
+// What the transaction's result says of the records and jobs that it was about. Adds the jobs whose
+// record was not what the leader took it for to `recheck`.
+Needs Ledger::take_hosts_result(Cluster& cluster, const HostBatch& batch, const state::TxnResult& r,
+                                std::vector<std::string>& recheck) {
+  Needs needs;
+  for (const auto& w : batch.hosts) {
+    Host* h = cluster.host(w.id);
+    if (!h) {
+      if (r.applied && !w.record.groups.empty()) {
+        garbage_.emplace_back(wire::host_key(w.id), r.revision);
+      }
+      continue;
+    }
+    h->storing = false;
+    if (r.applied) {
+      cluster.host_stored(*h, w.record, w.record.groups.empty() ? 0 : r.revision, needs);
+    } else if (r.outcome == Outcome::unknown || r.guard_failed(wire::host_key(w.id))) {
+      h->stamp_known = false;
+      stamps_unknown_ = true;
+    }
+    if (!r.applied && h->dirty) cluster.mark_dirty(*h);
+  }
+  for (const auto& id : batch.jobs) {
+    if (!r.guard_failed(wire::job_key(id))) continue;
+    needs |= cluster.drop_unsent(id, domain_.loop.now());
+    recheck.push_back(id);
+  }
+  return needs;
+}
+
+// Returns whether there may be more to do at once.
+Task<bool> Ledger::store_some_hosts(uint64_t reign, bool trailing) {
+  if (stamps_unknown_) {
+    co_await refresh_hosts(reign);
+    if (!domain_.in_reign(reign)) co_return false;
+  }
+  const size_t waiting =
+      domain_.picture.with([](Picture& p) { return p.cluster.dirty_hosts().size(); });
+  if (waiting == 0 && !trailing) co_return false;
+  // Records that only shrank are rewritten with what is left over: an entry too many costs a new
+  // leader a moment, a booking that waits costs a machine.
+  if (waiting == 0 && state_.write_level() < state_.write_burst() * kSlackLevel) co_return false;
+  co_await await_budget(reign, static_cast<double>(std::min(waiting, max_ops())));
+  if (!domain_.in_reign(reign)) co_return false;
+  HostBatch batch =
+      domain_.picture.with([&](Picture& p) { return collect_hosts(p.cluster, trailing); });
+  if (batch.hosts.empty()) co_return false;
+  const state::TxnResult r = co_await state_.commit(std::move(batch.txn), kCommitTime);
+  if (!domain_.in_reign(reign)) co_return false;
+  std::vector<std::string> recheck;
+  const Needs needs = domain_.picture.with(
+      [&](Picture& p) { return take_hosts_result(p.cluster, batch, r, recheck); });
+  if (r.guard_failed(wire::kEpochKey)) {
+    hooks_.deposed("a transaction met a later epoch");
+    co_return false;
+  }
+  domain_.follow_up(needs);
+  for (auto& id : recheck) co_await recheck_job(reign, id);
+  if (r.outcome != Outcome::ok) co_await domain_.loop.sleep(kRetry);
+  co_return true;
+}
+
+Task<bool> Ledger::delete_some_records(uint64_t reign) {
+  auto dead = domain_.picture.with([](Picture& p) { return p.cluster.take_dead_records(); });
+  for (auto& d : dead) garbage_.push_back(std::move(d));
+  if (garbage_.empty() || state_.write_level() < state_.write_burst() * kSlackLevel)
+    co_return false;
+  state::Txn txn;
+  txn.guards.push_back(epoch_guard());
+  std::vector<std::pair<std::string, uint64_t>> batch;
+  while (!garbage_.empty() && batch.size() < std::min<size_t>(domain_.platform.txn_ops, 12)) {
+    batch.push_back(garbage_.front());
+    garbage_.pop_front();
+    txn.guards.push_back({batch.back().first, batch.back().second});
+    txn.writes.push_back({batch.back().first, "", 0});
+  }
+  state::TxnResult r = co_await state_.commit(std::move(txn), kCommitTime);
+  if (!domain_.in_reign(reign)) co_return false;
+  if (r.guard_failed(wire::kEpochKey)) {
+    hooks_.deposed("a transaction met a later epoch");
+    co_return false;
+  }
+  if (r.applied) co_return !garbage_.empty();
+  for (auto& [key, stamp] : batch) {
+    if (!r.guard_failed(key)) {
+      garbage_.emplace_back(key, stamp);
+      continue;
+    }
+    // Gone already, or written by a transaction whose answer we never had.
+    state::GetResult got = co_await state_.get(key, kCommitTime);
+    if (!domain_.in_reign(reign)) co_return false;
+    if (got.outcome == Outcome::ok && got.found) garbage_.emplace_back(key, got.item.stamp);
+  }
+  co_return false;
+}
+
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/src/dunlinknot/cluster/ledger_progress.cpp
@@ -0,0 +1,150 @@
+// The ledger's records of progress: completed tasks by chunk, and the ends of jobs.
+#include <algorithm>
+#include <set>
+
+#include "dunlinknot/cluster/ledger.hpp"
+
+namespace dunlinknot::cluster {
+
+namespace {
+
+using http::Outcome;
+
+constexpr auto kRereadPause = Millis(30);
+constexpr double kPartialShare = 0.15;  // of the write budget, for the progress of open jobs
+constexpr Seconds kPartialPause{1};
+
+}  // namespace
+
+Task<void> Ledger::store_done(uint64_t reign) {
+  while (domain_.in_reign(reign)) {
+    (void)co_await domain_.store_done.wait_until(
+        std::max(next_partial_, domain_.loop.now() + std::chrono::seconds(1)));
+    for (bool more = true; more && domain_.in_reign(reign);) more = co_await store_some_done(reign);
+  }
+}
+
+// The ends of jobs and, with `partial`, how far open jobs are.
+Ledger::ProgressBatch Ledger::collect_progress(const Cluster& cluster, bool partial) const {
+  ProgressBatch batch;
+  state::Txn& txn = batch.txn;
+  txn.guards.push_back(epoch_guard());
+  for (const auto& [id, j] : cluster.jobs()) {
+    if (txn.writes.size() + 2 > max_ops()) break;
+    if (j->all_done()) {
+      batch.jobs.insert(id);
+      txn.guards.push_back({wire::job_key(id), j->stamp});
+      txn.guards.push_back({wire::final_key(id), 0});
+      txn.writes.push_back({wire::final_key(id), wire::write_final({false, j->spec().tasks}), 0});
+      txn.writes.push_back({wire::job_key(id), "", 0});
+      batch.finished.push_back({id, j->spec().tasks});
+    } else if (partial && !j->dirty_chunks().empty()) {
+      batch.jobs.insert(id);
+      txn.guards.push_back({wire::job_key(id), j->stamp});
+      for (const uint32_t n : j->dirty_chunks()) {
+        if (txn.writes.size() >= max_ops()) break;
+        const auto it = j->chunk_stamps.find(n);
+        txn.guards.push_back({wire::done_key(id, n), it == j->chunk_stamps.end() ? 0 : it->second});
+        txn.writes.push_back({wire::done_key(id, n), wire::write_done_chunk(j->done_bits(), n), 0});
+        batch.chunks.push_back({id, n, j->done_bits()});
+      }
+    }
+  }
+  return batch;
+}
+
+// The batch is durable.
+void Ledger::progress_stored(const ProgressBatch& batch, uint64_t revision) {
+  Needs needs;
+  domain_.picture.with([&](Picture& p) {
+    for (const auto& c : batch.chunks) {
+      if (Job* j = p.cluster.job(c.job)) j->chunk_stored(c.chunk, c.bits, revision);
+    }
+    for (const auto& f : batch.finished) {
+      needs |= p.cluster.close_job(f.job, false, domain_.loop.now());
+      p.nominations.job_closed(f.job);
+    }
+  });
+  for (const auto& f : batch.finished) hooks_.finished(f.job, f.tasks);
+  domain_.follow_up(needs);
+}
+
+// Unknown, or a stamp was not what we thought: reads back what stands. False when the reign ended.
+Task<bool> Ledger::reread_progress(uint64_t reign, const ProgressBatch& batch,
+                                   const state::TxnResult& r) {
+  for (const auto& c : batch.chunks) {
+    const std::string key = wire::done_key(c.job, c.chunk);
+    if (r.outcome == Outcome::ok && !r.guard_failed(key)) continue;
+    state::GetResult got = co_await state_.get(key, kCommitTime);
+    if (!domain_.in_reign(reign)) co_return false;
+    if (got.outcome != Outcome::ok) continue;
+    domain_.picture.with([&](Picture& p) {
+      Job* j = p.cluster.job(c.job);
+      if (!j) return;
+      if (!got.found) {
+        j->chunk_stamps.erase(c.chunk);
+        return;
+      }
+      std::vector<bool> bits(j->spec().tasks);
+      if (wire::read_done_chunk(got.item.value, c.chunk, bits)) {
+        j->load_chunk(c.chunk, bits, got.item.stamp);
+        j->chunk_stored(c.chunk, bits, got.item.stamp);
+      }
+    });
+  }
+  for (const auto& id : batch.jobs) {
+    if (r.outcome == Outcome::unknown || r.guard_failed(wire::job_key(id)) ||
+        r.guard_failed(wire::final_key(id))) {
+      co_await recheck_job(reign, id);
+      if (!domain_.in_reign(reign)) co_return false;
+    }
+  }
+  co_return true;
+}
+
+// Nothing is left to write: the progress of open jobs waits for as long as what was written of it
+// since the last pause takes at its share of the budget.
+void Ledger::pause_partial() {
+  if (partial_writes_ <= 0) return;
+  const double rate = state_.write_burst() * kPartialShare;
+  const Seconds pause = std::max(kPartialPause, Seconds(partial_writes_ / rate));
+  next_partial_ = domain_.loop.now() + to_nanos(pause);
+  partial_writes_ = 0;
+}
+
+// Returns whether there may be more to do at once.
+Task<bool> Ledger::store_some_done(uint64_t reign) {
+  // A job's end is told at once. How far an open job is need not be: until it is written down the
+  // workers keep what they completed. On a large cluster one write a task would eat the budget.
+  const bool partial = domain_.loop.now() >= next_partial_;
+  ProgressBatch batch =
+      domain_.picture.with([&](Picture& p) { return collect_progress(p.cluster, partial); });
+  if (batch.txn.writes.empty()) {
+    if (partial) pause_partial();
+    co_return false;
+  }
+  partial_writes_ += static_cast<double>(batch.chunks.size());
+  if (batch.finished.empty()) {
+    co_await await_budget(reign, static_cast<double>(batch.txn.writes.size()));
+  }
+  if (!domain_.in_reign(reign)) co_return false;
+  const state::TxnResult r = co_await state_.commit(std::move(batch.txn), kCommitTime);
+  if (!domain_.in_reign(reign)) co_return false;
+  if (r.guard_failed(wire::kEpochKey)) {
+    hooks_.deposed("a transaction met a later epoch");
+    co_return false;
+  }
+  if (r.applied) {
+    progress_stored(batch, r.revision);
+    co_return true;
+  }
+  if (r.outcome == Outcome::refused) {
+    co_await domain_.loop.sleep(kRetry);
+    co_return true;
+  }
+  if (!co_await reread_progress(reign, batch, r)) co_return false;
+  co_await domain_.loop.sleep(kRereadPause);
+  co_return true;
+}
+
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/src/dunlinknot/cluster/records.cpp
@@ -0,0 +1,91 @@
+// The records of machines in the state service: their contents, their size, and what follows once
+// one is durable.
+#include <algorithm>
+
+#include "dunlinknot/cluster/cluster.hpp"
+#include "dunlinknot/cluster/find.hpp"
+
+namespace dunlinknot::cluster {
+
+void Cluster::mark_dirty(Host& h, bool first) {
+  h.dirty = true;
+  if (h.queued) return;
+  h.queued = true;
+  first ? dirty_hosts_.push_front(h.id) : dirty_hosts_.push_back(h.id);
+}
+
+wire::HostRecord Cluster::record_of(const Host& h) const {
+  wire::HostRecord r;
+  r.type = h.type;
+  r.zone = h.zone;
+  r.address = h.address;
+  r.spot = h.spot;
+  for (const Booking& b : h.bookings) {
+    auto* g = find_where(r.groups, [&](const auto& x) { return x.job == b.task.job; });
+    if (!g) {
+      r.groups.push_back({b.task.job, b.team_name, b.need, b.gang, {}});
+      g = &r.groups.back();
+    }
+    g->tasks.emplace_back(b.task.index, b.attempt);
+  }
+  return r;
+}
+
+// The size of the record as the state service counts it, generously: see write_host.
+size_t Cluster::record_size(const Host& h) const {
+  constexpr size_t kFixed = 512;
+  size_t groups = 0;
+  const std::string* last = nullptr;
+  for (const Booking& b : h.bookings) {
+    if (!last || *last != b.task.job) ++groups;
+    last = &b.task.job;
+  }
+  return kFixed + groups * kRecordPerJob + h.bookings.size() * kRecordPerTask;
+}
+
+void Cluster::host_stored(Host& h, const wire::HostRecord& written, uint64_t stamp, Needs& needs) {
+  h.stamp = stamp;
+  h.stamp_known = true;
+  h.stored.clear();
+  for (const auto& g : written.groups) {
+    for (const auto& [index, attempt] : g.tasks)
+      h.stored.emplace_back(TaskRef{g.job, index}, attempt);
+  }
+  h.dirty = false;
+  h.trailing = false;
+  for (const auto& [task, attempt] : h.stored) {
+    if (!h.find(task, attempt)) h.trailing = true;
+  }
+  for (Booking& b : h.bookings) {
+    if (b.phase != Phase::planned) continue;
+    const bool there = find_where(
+        h.stored, [&](const auto& s) { return s.second == b.attempt && s.first == b.task; });
+    if (!there) {
+      mark_dirty(h, b.gang);
+      needs.store_hosts = true;
+      continue;
+    }
+    b.phase = Phase::durable;
+    needs.runs = true;
+    if (!b.gang) {
+      runnable_.push_back(h.id);
+      continue;
+    }
+    // Safety 4: a gang starts once every one of its bookings stands.
+    Job* j = job(b.task.job);
+    if (!j || j->gang_attempt != b.attempt) continue;
+    uint32_t standing = 0;
+    for (const Host* other : holders(b.task.job)) {
+      for (const Booking& k : other->bookings) {
+        if (k.task.job == b.task.job && k.attempt == b.attempt && k.phase != Phase::planned) {
+          ++standing;
+        }
+      }
+    }
+    j->gang_go = standing == j->spec().tasks;
+    if (!j->gang_go) continue;
+    for (const Host* other : holders(b.task.job)) runnable_.push_back(other->id);
+  }
+}
+
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/src/dunlinknot/cluster/reports.cpp
@@ -0,0 +1,302 @@
+// Reports of the workers: what a report proves about the bookings of its machine, and the commands
+// that its response carries.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <tuple>
+
+#include "dunlinknot/cluster/cluster.hpp"
+#include "dunlinknot/cluster/find.hpp"
+
+namespace dunlinknot::cluster {
+
+namespace {
+
+constexpr size_t kMaxCommands = 400;
+
+}  // namespace
+
+bool Cluster::fresh(Host& h, const Beat& b) const {
+  if (!h.heard) return true;
+  return std::pair(b.session, b.seq) > std::pair(h.session, h.seq);
+}
+
+BeatAnswer Cluster::on_beat(const Beat& b, Instant now, bool may_start, Needs& needs) {
+  BeatAnswer answer = hear(b, now, may_start, needs);
+  if (answer.kind != BeatAnswer::Kind::accept) return answer;
+  return orders(b, now, may_start && answer.read);
+}
+
+BeatAnswer Cluster::hear(const Beat& b, Instant now, bool may_start, Needs& needs) {
+  BeatAnswer answer;
+  if (b.token > epoch_) {
+    answer.kind = BeatAnswer::Kind::superseded;
+    return answer;
+  }
+  if (gone_.contains(b.machine)) {
+    // A report that was under way while its machine was deleted.
+    answer.kind = BeatAnswer::Kind::stale;
+    return answer;
+  }
+  Host& h = learn_host(b.machine, b.type, b.zone, b.spot, now);
+  if (h.lost && b.session <= h.session) {
+    answer.kind = BeatAnswer::Kind::stale;
+    return answer;
+  }
+  const std::pair at(b.session, b.seq);
+  if (h.heard && at <= std::pair(h.beat_session, h.beat_seq)) {
+    // A copy of a beat that was answered already, or of an older one: nobody waits for the answer.
+    // It frees nothing, and it is no sign of life.
+    answer.kind = BeatAnswer::Kind::stale;
+    return answer;
+  }
+  std::tie(h.beat_session, h.beat_seq) = at;
+  if (!fresh(h, b)) {
+    // Older than a report already seen (a direct call's answer may overtake a beat): its worker may
+    // still be waiting, so its lease is renewed, but nothing is read from it and nothing started.
+    return answer;
+  }
+  answer.read = true;
+  const bool was_ours = h.ours;
+  Needs changed;
+  take_report(h, b, now, true, changed);
+  needs |= changed;
+  if (!may_start || h.draining || h.deleting) return answer;
+  promote_ahead(h, now);
+  const auto planned = [](const Booking& k) { return k.phase == Phase::planned; };
+  if (!h.ours || h.deaf || h.recall_at) return answer;
+  if (find_where(h.bookings, [&](const Booking& k) { return sendable(k); })) return answer;
+  const bool has_room = work_waits_ && (changed.schedule || !was_ours) && h.free().cpus > 0;
+  answer.run_soon = has_room || find_where(h.bookings, planned);
+  return answer;
+}
+
+bool Cluster::sendable(const Booking& k) const {
+  if (k.phase != Phase::durable || k.ahead || k.stopping()) return false;
+  const Job* j = job(k.task.job);
+  return j && (!k.gang || (j->gang_go && j->gang_attempt == k.attempt));  // safety 4
+}
+
+BeatAnswer Cluster::orders(const Beat& b, Instant now, bool may_start) {
+  BeatAnswer answer;
+  Host* known = host(b.machine);
+  if (!known || known->lost ||
+      std::pair(known->beat_session, known->beat_seq) != std::pair(b.session, b.seq)) {
+    // Gone meanwhile, or its worker gave this answer up and reported anew.
+    answer.kind = BeatAnswer::Kind::stale;
+    return answer;
+  }
+  Host& h = *known;
+
+  // The response. Stops first: what renews a lease carries every stop that is due (safety 2), and
+  // the room they make is there for what starts.
+  auto& out = answer.commands;
+  for (const auto& t : b.tasks) {
+    if (t.state == TaskState::exited) continue;
+    const Booking* k = h.find(t.task, t.attempt);
+    if (!k || !k->stopping()) continue;
+    if (t.state == TaskState::saving && k->grace > Seconds(0)) continue;
+    out.push_back({Command::Op::stop, t.task, t.attempt, k->grace});
+  }
+  for (const auto& t : b.tasks) {
+    if (out.size() >= kMaxCommands) break;
+    if (t.state != TaskState::exited) continue;
+    // Safety 3: a completed task is forgotten only after its `done` is durable.
+    const Job* j = job(t.task.job);
+    const bool keep = t.cause == ExitCause::done && j && t.task.index < j->spec().tasks &&
+                      !j->is_durable(t.task.index);
+    if (!keep) out.push_back({Command::Op::forget, t.task, t.attempt, Seconds(0)});
+  }
+  if (may_start && !h.draining && !h.deleting) {
+    for (Booking& k : h.bookings) {
+      if (!sendable(k) || out.size() >= kMaxCommands) continue;
+      out.push_back({Command::Op::start, k.task, k.attempt, Seconds(0)});
+      k.phase = Phase::sent;
+      k.sent_session = b.session;
+    }
+  }
+  h.last_answered = now;
+  return answer;
+}
+
+Needs Cluster::on_direct_report(const Beat& b, Instant now) {
+  Needs needs;
+  Host* h = host(b.machine);
+  if (!h || b.token > epoch_ || !fresh(*h, b) || h->lost) return needs;
+  take_report(*h, b, now, false, needs);
+  return needs;
+}
+
+// What the worker tells of itself; its tasks are read by the caller.
+void Cluster::take_host_state(Host& h, const Beat& b, Instant now, bool complete, Needs& needs) {
+  if (!h.heard) {
+    h.idle_since = now;
+    needs.schedule = true;
+  }
+  if (h.lost) needs.schedule = true;
+  h.heard = true;
+  h.lost = false;
+  h.address = b.address;
+  h.session = b.session;
+  h.seq = b.seq;
+  if (complete) h.last_heard = now;
+  if (b.token == epoch_) h.ours = true;
+  const std::optional<Instant> recall =
+      b.notice ? std::optional(now + to_nanos(*b.notice)) : std::nullopt;
+  if (recall.has_value() != h.recall_at.has_value()) needs.schedule = true;
+  if (recall && !h.recall_at) {
+    spdlog::info("machine {} is recalled in {:.1f} s", h.id, b.notice->count());
+  }
+  h.recall_at = recall;
+}
+
+// The worker killed all it had when its lease ran out; a `run` from before is dropped there.
+Needs Cluster::end_bookings_before(Host& h, uint64_t session, Instant now) {
+  Needs needs;
+  h.images.clear();
+  for (size_t i = h.bookings.size(); i-- > 0;) {
+    if (i >= h.bookings.size()) continue;
+    const Booking& booking = h.bookings[i];
+    const bool from_before = booking.phase == Phase::seen ||
+                             (booking.phase == Phase::sent && booking.sent_session < session);
+    if (from_before) needs |= end_booking(h, i, now);
+  }
+  return needs;
+}
+
+// On the machine without a booking: counted from now on, and stopped unless it is welcome.
+Booking& Cluster::book_orphan(Host& h, const TaskReport& task, const Job* j, Instant now) {
+  Booking orphan;
+  orphan.task = task.task;
+  orphan.attempt = task.attempt;
+  orphan.placed_at = now;
+  const uint32_t index = task.task.index;
+  const bool welcome = j && !j->spec().gang && !j->is_done(index) && !j->is_live(index);
+  if (j) {
+    orphan.team = j->team();
+    orphan.team_name = j->spec().team;
+    orphan.need = j->spec().need;
+    orphan.image = j->spec().image;
+    orphan.estimate = j->spec().estimate;
+    orphan.gang = j->spec().gang;
+    orphan.priority = j->spec().priority;
+  }
+  orphan.phase = Phase::seen;
+  spdlog::info("machine {} reports {} try {} that is not booked there: {}", h.id, task.task.text(),
+               task.attempt, welcome ? "kept" : "stopped");
+  add_booking(h, std::move(orphan));
+  mark_dirty(h);
+  Booking& booking = h.bookings.back();
+  if (!welcome) stop(h, booking, StopReason::stray, Seconds(0), now);
+  return booking;
+}
+
+// A task that is on the machine. Returns whether that shows that a `run` of ours got there.
+bool Cluster::take_task(Host& h, const TaskReport& t, Instant now, Needs& needs) {
+  Job* j = job(t.task.job);
+  if (j && t.task.index >= j->spec().tasks) j = nullptr;
+  Booking* booking = h.find(t.task, t.attempt);
+  if (!booking) {
+    booking = &book_orphan(h, t, j, now);
+    needs.store_hosts = true;
+  }
+  if (!j && !booking->stopping()) stop(h, *booking, StopReason::cancelled, Seconds(0), now);
+  const bool obeyed = booking->phase == Phase::sent;
+  booking->phase = Phase::seen;
+  if (t.state == booking->state) return obeyed;
+  if (t.state == TaskState::running) {
+    if (booking->running_since == Instant{}) booking->running_since = now;
+    if (j) ++j->running;
+  } else if (booking->state == TaskState::running && j && j->running > 0) {
+    --j->running;
+  }
+  booking->state = t.state;
+  return obeyed;
+}
+
+// Safety 1: what a complete report does not list is gone, provided that nothing may still start it:
+// the report bears our token (an older leader's `run` is refused from now on) and was sent after
+// the response that carried ours (one report is in flight at a time, late responses are dropped).
+// Returns whether the response with some `run` was lost.
+bool Cluster::end_unlisted(Host& h, const Beat& b, Instant now, Needs& needs) {
+  bool missed_us = false;
+  for (size_t i = h.bookings.size(); i-- > 0;) {
+    if (i >= h.bookings.size()) continue;
+    Booking& booking = h.bookings[i];
+    if (booking.unsent()) continue;
+    const auto is_listed = [&](const TaskReport& t) {
+      return t.attempt == booking.attempt && t.task == booking.task && t.state != TaskState::exited;
+    };
+    if (find_where(b.tasks, is_listed)) continue;
+    if (b.token != epoch_) continue;
+    if (booking.phase == Phase::sent && !booking.stopping() && job(booking.task.job)) {
+      booking.phase = Phase::durable;  // said again in the next response
+      missed_us = true;
+      continue;
+    }
+    needs |= end_booking(h, i, now);
+  }
+  return missed_us;
+}
+
+void Cluster::take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs) {
+  const bool new_session = h.heard && b.session > h.session;
+  // Its lease ran out although we answered it in time: either our answers do not get there, or it
+  // was started anew.
+  bool missed_us = complete && new_session && h.ours && now - h.last_answered < lease_ / 2;
+  bool obeyed = false;
+  take_host_state(h, b, now, complete, needs);
+  if (new_session) {
+    needs.schedule = true;
+    needs |= end_bookings_before(h, b.session, now);
+  }
+  for (const auto& t : b.tasks) {
+    if (t.state == TaskState::exited) {
+      needs |= on_exit(h, t, now);
+    } else {
+      obeyed |= take_task(h, t, now, needs);
+    }
+  }
+  if (complete) missed_us |= end_unlisted(h, b, now, needs);
+  if (obeyed) {
+    h.strikes = 0;
+    h.deaf = false;
+  } else if (missed_us) {
+    strike(h, now);
+  }
+  if (!stop_hosts_.empty()) needs.stops = true;
+}
+
+Needs Cluster::on_exit(Host& h, const TaskReport& r, Instant now) {
+  Needs needs;
+  Job* j = job(r.task.job);
+  if (j && r.task.index >= j->spec().tasks) j = nullptr;
+  if (r.cause == ExitCause::done && j && !j->is_done(r.task.index)) {
+    if (j->spec().gang) {
+      // A gang completes together: one task done, all done.
+      for (uint32_t i = 0; i < j->spec().tasks; ++i) j->mark_done(i);
+    } else {
+      j->mark_done(r.task.index);
+    }
+    j->failing = false;
+    j->backoff = Nanos(0);
+    needs.store_done = true;
+  }
+  if (r.cause == ExitCause::done) {
+    h.error_streak = 0;
+    h.error_jobs.clear();
+  }
+  Booking* k = h.find(r.task, r.attempt);
+  if (!k) return needs;
+  if (r.cause == ExitCause::error) on_error(h, j, now);
+  if (r.cause == ExitCause::no_room || r.cause == ExitCause::busy ||
+      r.cause == ExitCause::unknown) {
+    spdlog::info("machine {} refused {}: cause {}", h.id, r.task.text(), static_cast<int>(r.cause));
+    if (j) j->not_before = std::max(j->not_before, now + Millis(1000));
+  }
+  const bool orderly = r.cause == ExitCause::stopped && k->stopping() && k->grace > Seconds(0);
+  needs |= end_booking(h, static_cast<size_t>(k - h.bookings.data()), now, orderly);
+  return needs;
+}
+
+}  // namespace dunlinknot::cluster
--- a/src/dunlinknot/http/client.hpp
+++ b/src/dunlinknot/http/client.hpp
@@ -23,7 +23,7 @@
   std::string target;
   std::string body;
   Instant deadline;
-  size_t max_body = 64 * 1024;
+  size_t max_body = size_t{64} * 1024;
   bool keep = true;  // keep the connection for a later call
 };
 
--- a/src/dunlinknot/http/message.cpp
+++ b/src/dunlinknot/http/message.cpp
@@ -230,7 +230,7 @@
   Message out = std::move(message_);
   message_ = Message{};
   buffer_.erase(0, pos_);
-  if (buffer_.empty() && buffer_.capacity() > 16 * 1024) buffer_.shrink_to_fit();
+  if (buffer_.empty() && buffer_.capacity() > size_t{16} * 1024) buffer_.shrink_to_fit();
   pos_ = 0;
   head_bytes_ = 0;
   has_length_ = chunked_ = false;
--- a/src/dunlinknot/http/message.hpp
+++ b/src/dunlinknot/http/message.hpp
@@ -11,8 +11,8 @@
 namespace dunlinknot::http {
 
 struct Limits {
-  size_t head = 8 * 1024;  // start line and headers together
-  size_t body = 64 * 1024;
+  size_t head = size_t{8} * 1024;  // start line and headers together
+  size_t body = size_t{64} * 1024;
 };
 
 struct Message {
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -97,7 +97,11 @@
     if (post) co_return co_await workers_.beat(std::move(request.body));
     out.status = 405;
   } else if (path == "/ready") {
-    out.status = !get ? 405 : co_await ready() ? 200 : 503;
+    out.status = 405;
+    if (get) {
+      const bool is_ready = co_await ready();
+      out.status = is_ready ? 200 : 503;
+    }
     if (out.status == 503) out.retry_after_s = 1;
   } else if (path == "/v1/jobs") {
     if (post) co_return co_await jobs_.submit(std::move(request.body));
--- a/src/dunlinknot/settings/settings.cpp
+++ b/src/dunlinknot/settings/settings.cpp
@@ -105,12 +105,18 @@
 
 constexpr double kMany = 1e9;
 
-}  // namespace
+double optional_number(const TomlReader& in, const toml::table& table, const char* key,
+                       const std::string& at, double fallback) {
+  return table.contains(key) ? in.number(table, key, at + key, 0, kMany) : fallback;
+}
 
-Platform load_platform(const std::string& path) {
-  const TomlReader in(path);
+Seconds duration(const TomlReader& in, const toml::table& table, const char* key,
+                 const std::string& at, double least) {
+  return Seconds(in.number(table, key, at + key, least, 86'400));
+}
+
+void read_addresses(const TomlReader& in, Platform& p) {
   const toml::table& root = in.root();
-  Platform p;
   p.node = in.text(root, "node", "node");
   p.zone = in.text(root, "zone", "zone");
   p.listen = in.endpoint(root, "listen", "listen");
@@ -125,9 +131,9 @@
   const toml::table& services = in.table(root, "services", "services");
   p.cloud = in.endpoint(services, "cloud", "services.cloud");
   p.state = in.endpoint(services, "state", "services.state");
+}
 
-  const toml::table& params = in.table(root, "params", "params");
-  p.nodes = static_cast<uint32_t>(in.number(params, "nodes", "params.nodes", 1, 1000));
+void read_zones(const TomlReader& in, const toml::table& params, Platform& p) {
   const toml::node& zones = in.need(params, "zones", "params.zones");
   if (!zones.is_array() || zones.as_array()->empty()) {
     in.fail("params.zones", "must be a list of zone names", &zones);
@@ -137,55 +143,54 @@
     if (!v) in.fail("params.zones", "must be a list of zone names", &z);
     p.zones.push_back(*v);
   }
-  if (params.contains("skew_ms")) {
-    p.skew = Millis(
-        static_cast<int64_t>(std::ceil(in.number(params, "skew_ms", "params.skew_ms", 0, 3.6e6))));
-  }
+}
+
+Team read_team(const TomlReader& in, const toml::table& t, const std::string& at) {
+  Team team;
+  team.name = in.text(t, "name", at + "name");
+  team.cpus = optional_number(in, t, "cpus", at, 0);
+  team.cpus_max = optional_number(in, t, "cpus_max", at, 0);
+  team.gpus = optional_number(in, t, "gpus", at, 0);
+  team.gpus_max = optional_number(in, t, "gpus_max", at, 0);
+  if (team.cpus_max > 0 && team.cpus > team.cpus_max) in.fail(at + "cpus", "exceeds cpus_max", &t);
+  if (team.gpus_max > 0 && team.gpus > team.gpus_max) in.fail(at + "gpus", "exceeds gpus_max", &t);
+  return team;
+}
+
+void read_teams(const TomlReader& in, const toml::table& params, Platform& p) {
   in.each(params, "teams", "params.teams", [&](const toml::table& t, const std::string& at) {
-    Team team;
-    team.name = in.text(t, "name", at + "name");
-    const auto optional = [&](const char* key) {
-      return t.contains(key) ? in.number(t, key, at + key, 0, kMany) : 0.0;
-    };
-    team.cpus = optional("cpus");
-    team.cpus_max = optional("cpus_max");
-    team.gpus = optional("gpus");
-    team.gpus_max = optional("gpus_max");
-    if (team.cpus_max > 0 && team.cpus > team.cpus_max)
-      in.fail(at + "cpus", "exceeds cpus_max", &t);
-    if (team.gpus_max > 0 && team.gpus > team.gpus_max)
-      in.fail(at + "gpus", "exceeds gpus_max", &t);
+    Team team = read_team(in, t, at);
     for (const Team& other : p.teams) {
       if (other.name == team.name) in.fail(at + "name", "names a team a second time", &t);
     }
     p.teams.push_back(std::move(team));
   });
   if (p.teams.empty()) in.fail("params.teams", "is missing");
-  in.each(params, "objectives", "params.objectives",
-          [&](const toml::table& t, const std::string& at) {
-            Objective o;
-            o.kind = in.text(t, "kind", at + "kind");
-            if (t.contains("class")) o.job_class = in.text(t, "class", at + "class");
-            const auto optional = [&](const char* key, double fallback) {
-              return t.contains(key) ? in.number(t, key, at + key, 0, kMany) : fallback;
-            };
-            o.within = Seconds(optional("within_s", 0));
-            o.share = optional("share", 0);
-            o.times = optional("times", 1);
-            p.objectives.push_back(std::move(o));
-          });
+}
+
+Objective read_objective(const TomlReader& in, const toml::table& t, const std::string& at) {
+  Objective o;
+  o.kind = in.text(t, "kind", at + "kind");
+  if (t.contains("class")) o.job_class = in.text(t, "class", at + "class");
+  o.within = Seconds(optional_number(in, t, "within_s", at, 0));
+  o.share = optional_number(in, t, "share", at, 0);
+  o.times = optional_number(in, t, "times", at, 1);
+  return o;
+}
 
+void read_workers(const TomlReader& in, const toml::table& params, Platform& p) {
   const toml::table& workers = in.table(params, "workers", "params.workers");
-  const auto duration = [&](const toml::table& t, const char* key, const char* at, double least) {
-    return Seconds(in.number(t, key, std::string(at) + key, least, 86'400));
-  };
-  p.report = duration(workers, "report_s", "params.workers.", 0.01);
-  p.lease = duration(workers, "lease_s", "params.workers.", 0.1);
-  p.gang_wait = duration(workers, "gang_wait_s", "params.workers.", 0);
-  p.gang_peer = duration(workers, "gang_peer_s", "params.workers.", 0);
-  p.cancel = duration(workers, "cancel_s", "params.workers.", 0.1);
+  const std::string at = "params.workers.";
+  p.report = duration(in, workers, "report_s", at, 0.01);
+  p.lease = duration(in, workers, "lease_s", at, 0.1);
+  p.gang_wait = duration(in, workers, "gang_wait_s", at, 0);
+  p.gang_peer = duration(in, workers, "gang_peer_s", at, 0);
+  p.cancel = duration(in, workers, "cancel_s", at, 0.1);
   if (p.lease <= p.report) in.fail("params.workers.lease_s", "must be longer than report_s");
+}
 
+// The limits of the state service and the cloud, and of this process.
+void read_limits(const TomlReader& in, const toml::table& params, Platform& p) {
   const toml::table& state = in.table(params, "state", "params.state");
   p.state_rps = in.number(state, "rps", "params.state.rps", 1, kMany);
   p.state_write_rps = in.number(state, "write_rps", "params.state.write_rps", 1, kMany);
@@ -195,13 +200,35 @@
 
   const toml::table& cloud = in.table(params, "cloud", "params.cloud");
   p.cloud_rps = in.number(cloud, "rps", "params.cloud.rps", 0.01, kMany);
-  p.list_lag = duration(cloud, "list_lag_s", "params.cloud.", 0);
+  p.list_lag = duration(in, cloud, "list_lag_s", "params.cloud.", 0);
 
   const toml::table& quota = in.table(params, "quota", "params.quota");
   p.cpu_share = in.number(quota, "cpu", "params.quota.cpu", 0.001, 1000);
   p.memory_mb = in.number(quota, "memory_mb", "params.quota.memory_mb", 16, kMany);
   p.max_connections = static_cast<uint32_t>(
       in.number(quota, "max_connections", "params.quota.max_connections", 32, kMany));
+}
+
+}  // namespace
+
+Platform load_platform(const std::string& path) {
+  const TomlReader in(path);
+  Platform p;
+  read_addresses(in, p);
+  const toml::table& params = in.table(in.root(), "params", "params");
+  p.nodes = static_cast<uint32_t>(in.number(params, "nodes", "params.nodes", 1, 1000));
+  read_zones(in, params, p);
+  if (params.contains("skew_ms")) {
+    const double skew_ms = in.number(params, "skew_ms", "params.skew_ms", 0, 3.6e6);
+    p.skew = Millis(static_cast<int64_t>(std::ceil(skew_ms)));
+  }
+  read_teams(in, params, p);
+  in.each(params, "objectives", "params.objectives",
+          [&](const toml::table& t, const std::string& at) {
+            p.objectives.push_back(read_objective(in, t, at));
+          });
+  read_workers(in, params, p);
+  read_limits(in, params, p);
   return p;
 }
 
--- a/src/dunlinknot/state/client.cpp
+++ b/src/dunlinknot/state/client.cpp
@@ -13,8 +13,8 @@
 using wire::Writer;
 
 constexpr double kUserShare = 0.5;  // of the writes
-constexpr size_t kListBody = 600 * 1024;
-constexpr size_t kWatchBody = 4 * 1024 * 1024;
+constexpr size_t kListBody = size_t{600} * 1024;
+constexpr size_t kWatchBody = size_t{4} * 1024 * 1024;
 
 std::shared_ptr<Document> parse(const std::string& body) {
   auto d = Document::parse(body);
@@ -98,7 +98,7 @@
 
 Task<GetResult> Client::get(std::string key, Nanos within, Importance how) {
   GetResult out;
-  http::Reply r = co_await call("GET", "/keys/" + key, "", within, 64 * 1024, 0, how);
+  http::Reply r = co_await call("GET", "/keys/" + key, "", within, size_t{64} * 1024, 0, how);
   out.outcome = r.outcome;
   if (r.outcome != Outcome::ok) co_return out;
   out.document = parse(r.body);
@@ -164,7 +164,7 @@
       if (op.lease) w.key("tenancy").count(op.lease);
     }
   }
-  http::Reply r = co_await call("POST", "/multi", w.take(), within, 64 * 1024,
+  http::Reply r = co_await call("POST", "/multi", w.take(), within, size_t{64} * 1024,
                                 static_cast<double>(txn.writes.size()), how);
   out.outcome = r.outcome;
   if (r.outcome != Outcome::ok) co_return out;
--- a/src/dunlinknot/wire/peer.hpp
+++ b/src/dunlinknot/wire/peer.hpp
@@ -22,7 +22,7 @@
 inline constexpr uint32_t kMagic = 0x4b4e4c44;  // "DLNK"
 inline constexpr uint16_t kVersion = 2;
 inline constexpr size_t kHeaderBytes = 12;
-inline constexpr size_t kMaxBody = 32 * 1024;
+inline constexpr size_t kMaxBody = size_t{32} * 1024;
 inline constexpr size_t kMaxEntries = 512;
 inline constexpr size_t kNameBytes = 32;
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <iostream>
 
@@ -48,10 +49,8 @@
   return 0;
 }
 
-}  // namespace
-
-int main(int argc, char** argv) {
-  std::signal(SIGPIPE, SIG_IGN);
+// Reads the command line and carries it out; returns the exit status.
+int run(int argc, char** argv) {
   CLI::App app{"dunlinknot, a cluster scheduler: one controller of the service"};
   app.name("dunlinknot");
   app.set_version_flag("--version", std::string("dunlinknot ") + DUNLINKNOT_VERSION);
@@ -74,18 +73,25 @@
     std::cerr << "dunlinknot: " << e.what() << " (see dunlinknot --help)\n";
     return 2;
   }
+  const settings::Platform platform = settings::load_platform(config);
+  const settings::Operator op =
+      operator_file.empty() ? settings::Operator{} : settings::load_operator(operator_file);
+  if (check_command->parsed()) {
+    std::cout << "the settings are fine\n";
+    return 0;
+  }
+  if (const int bad = set_up_log()) return bad;
+  return serve(platform, op);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
   try {
-    const settings::Platform platform = settings::load_platform(config);
-    const settings::Operator op =
-        operator_file.empty() ? settings::Operator{} : settings::load_operator(operator_file);
-    if (check_command->parsed()) {
-      std::cout << "the settings are fine\n";
-      return 0;
-    }
-    if (const int bad = set_up_log()) return bad;
-    return serve(platform, op);
+    return run(argc, argv);
   } catch (const std::exception& e) {
-    std::cerr << "dunlinknot: " << e.what() << "\n";
+    std::fprintf(stderr, "dunlinknot: %s\n", e.what());
     return 1;
   }
 }
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -392,6 +392,85 @@
     (void)co_await s.handle(pick(3), std::move(r));
   }
 
+  // The state service is out for all, and often again a moment after it is back.
+  Task<void> outages() {
+    s.state.outage = true;
+    co_await s.loop.sleep(in(1, 50));
+    s.state.end_outage();
+    for (auto& n : s.nodes) n->refused_by_state = false;
+    if (chance(0.5)) co_return;
+    co_await s.loop.sleep(in(0.2, 1.5));
+    s.state.outage = true;
+    co_await s.loop.sleep(in(1, 20));
+    s.state.end_outage();
+  }
+
+  Task<void> cut_from_state_and_peers(size_t node) {
+    s.nodes[node]->cut_from_state = s.nodes[node]->cut_from_peers = true;
+    co_await s.loop.sleep(in(2, 40));
+    s.nodes[node]->cut_from_state = s.nodes[node]->cut_from_peers = false;
+  }
+
+  Task<void> leaders_change_again_and_again() {
+    for (size_t k = 0; k < 8; ++k) {
+      s.restart(s.leader().value_or(pick(3)));
+      co_await s.loop.sleep(in(0.2, 8));
+    }
+  }
+
+  // Also for longer than a lease.
+  Task<void> all_controllers_away() {
+    for (size_t i = 0; i < 3; ++i) s.crash(i);
+    co_await s.loop.sleep(in(0.2, 25));
+    for (size_t i = 0; i < 3; ++i) s.restart(i);
+  }
+
+  // Transactions without an answer are carried out late.
+  Task<void> late_transactions() {
+    const Instant until = s.loop.now() + in(5, 30);
+    while (s.loop.now() < until) {
+      s.state.late_by = in(2, 12);
+      s.state.fate = [this](const http::Call& c) {
+        return c.target == "/multi" && chance(0.3) ? Fate::apply_late : Fate::normal;
+      };
+      co_await s.loop.sleep(in(0.5, 2));
+    }
+    s.state.fate = nullptr;
+  }
+
+  using Flags = std::vector<bool Worker::*>;
+  Task<void> set_for_a_while(const std::vector<Worker*>& some, const Flags& flags) {
+    const auto set = [&](bool on) {
+      for (Worker* w : some) {
+        for (const auto flag : flags) w->*flag = on;
+      }
+    };
+    set(true);
+    co_await s.loop.sleep(in(1, 30));
+    set(false);
+  }
+
+  Task<void> reach_one_controller_alone(const std::vector<Worker*>& some, size_t controller) {
+    for (Worker* w : some) {
+      for (size_t i = 0; i < 3; ++i) {
+        if (i != controller) s.cut.insert({i, w->id});
+      }
+    }
+    co_await s.loop.sleep(in(2, 30));
+    s.cut.clear();
+  }
+
+  Task<void> late_copies_of_reports() {
+    for (int k = 0; k < 30; ++k) {
+      for (auto& [id, w] : s.workers) {
+        if (w->on && !w->hung && chance(0.3)) {
+          s.loop.spawn(copy_later(wire::write_beat(w->report())));
+        }
+      }
+      co_await s.loop.sleep(in(0.3, 1));
+    }
+  }
+
   Task<void> trouble(Nanos begins) {
     co_await s.loop.sleep(begins);
     const size_t leader = s.leader().value_or(pick(3));
@@ -400,6 +479,8 @@
     for (auto& [id, w] : s.workers) {
       if (w->on && chance(0.4)) some.push_back(w.get());
     }
+    const Flags hung = {&Worker::hung}, mute = {&Worker::mute}, cut_off = {&Worker::cut};
+    const Flags deaf = {&Worker::drop_responses, &Worker::refuse_direct};
     const size_t kind = pick(13);
     log += " " + std::to_string(kind) + "@" +
            std::to_string(to_seconds(s.loop.now().time_since_epoch()).count() - 1000);
@@ -407,86 +488,44 @@
       case 0:  // the state service refuses the leader alone, and a moment later it is out for all
         s.nodes[leader]->refused_by_state = true;
         co_await s.loop.sleep(in(0.1, 3));
-        [[fallthrough]];
+        co_await outages();
+        break;
       case 1:
-        s.state.outage = true;
-        co_await s.loop.sleep(in(1, 50));
-        s.state.end_outage();
-        for (auto& n : s.nodes) n->refused_by_state = false;
-        if (chance(0.5)) break;
-        co_await s.loop.sleep(in(0.2, 1.5));
-        s.state.outage = true;
-        co_await s.loop.sleep(in(1, 20));
-        s.state.end_outage();
+        co_await outages();
         break;
-      case 2:  // cut from the state service and the other controllers
-        s.nodes[node]->cut_from_state = s.nodes[node]->cut_from_peers = true;
-        co_await s.loop.sleep(in(2, 40));
-        s.nodes[node]->cut_from_state = s.nodes[node]->cut_from_peers = false;
+      case 2:
+        co_await cut_from_state_and_peers(node);
         break;
       case 3:
         s.restart(node);
         break;
-      case 4:  // leaders change again and again
-        for (size_t k = 0; k < 8; ++k) {
-          s.restart(s.leader().value_or(pick(3)));
-          co_await s.loop.sleep(in(0.2, 8));
-        }
+      case 4:
+        co_await leaders_change_again_and_again();
         break;
-      case 5:  // all are away, also for longer than a lease
-        for (size_t i = 0; i < 3; ++i) s.crash(i);
-        co_await s.loop.sleep(in(0.2, 25));
-        for (size_t i = 0; i < 3; ++i) s.restart(i);
+      case 5:
+        co_await all_controllers_away();
         break;
-      case 6: {  // transactions without an answer are carried out late
-        const Instant until = s.loop.now() + in(5, 30);
-        while (s.loop.now() < until) {
-          s.state.late_by = in(2, 12);
-          s.state.fate = [this](const http::Call& c) {
-            return c.target == "/multi" && chance(0.3) ? Fate::apply_late : Fate::normal;
-          };
-          co_await s.loop.sleep(in(0.5, 2));
-        }
-        s.state.fate = nullptr;
+      case 6:
+        co_await late_transactions();
         break;
-      }
-      case 7:  // machines hang, with commands in their sockets
-        for (Worker* w : some) w->hung = true;
-        co_await s.loop.sleep(in(1, 30));
-        for (Worker* w : some) w->hung = false;
+      case 7:  // with commands in their sockets
+        co_await set_for_a_while(some, hung);
         break;
-      case 8:  // deaf
-        for (Worker* w : some) w->drop_responses = w->refuse_direct = true;
-        co_await s.loop.sleep(in(1, 30));
-        for (Worker* w : some) w->drop_responses = w->refuse_direct = false;
+      case 8:  // they hear no answers and no commands
+        co_await set_for_a_while(some, deaf);
         break;
-      case 9:  // mute
-        for (Worker* w : some) w->mute = true;
-        co_await s.loop.sleep(in(1, 30));
-        for (Worker* w : some) w->mute = false;
+      case 9:
+        co_await set_for_a_while(some, mute);
         break;
-      case 10:  // cut off
-        for (Worker* w : some) w->cut = true;
-        co_await s.loop.sleep(in(1, 30));
-        for (Worker* w : some) w->cut = false;
+      case 10:
+        co_await set_for_a_while(some, cut_off);
         break;
-      case 11:  // machines reach the old leader alone
-        for (Worker* w : some) {
-          for (size_t i = 0; i < 3; ++i) {
-            if (i != leader) s.cut.insert({i, w->id});
-          }
-        }
-        co_await s.loop.sleep(in(2, 30));
-        s.cut.clear();
+      case 11:
+        co_await reach_one_controller_alone(some, leader);
+        break;
+      default:
+        co_await late_copies_of_reports();
         break;
-      default:  // copies of reports come late
-        for (int k = 0; k < 30; ++k) {
-          for (auto& [id, w] : s.workers) {
-            if (w->on && !w->hung && chance(0.3))
-              s.loop.spawn(copy_later(wire::write_beat(w->report())));
-          }
-          co_await s.loop.sleep(in(0.3, 1));
-        }
     }
   }
 
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -184,6 +184,75 @@
   }
 }
 
+// Renews or ends a lease.
+Reply StateService::lease_request(const std::string& method, const std::string& target) {
+  const uint64_t id = std::stoull(target.substr(8));
+  const auto it = leases_.find(id);
+  if (it == leases_.end()) return reply(404);
+  if (method == "DELETE") {
+    it->second.ends = loop_.now();
+    expire();
+  } else {
+    it->second.ends = loop_.now() + it->second.ttl;
+  }
+  return reply(200);
+}
+
+Reply StateService::read_key(const std::string& target) const {
+  const auto it = data.find(target.substr(6));
+  Writer w;
+  if (it == data.end()) {
+    w.map(1).key("ledgerRev").count(revision_);
+    return reply(404, w.take());
+  } else {
+    w.map(4).key("key").text(it->first).key("v").raw(it->second.value);
+    w.key("stamp").count(it->second.stamp).key("tenancy");
+    it->second.lease ? w.count(it->second.lease) : w.null();
+    return reply(200, w.take());
+  }
+}
+
+Reply StateService::list_keys(const std::string& target) const {
+  const std::string prefix = param(target, "starts");
+  const std::string after = param(target, "since");
+  const uint64_t most = number(param(target, "most"));
+  std::vector<std::pair<std::string, const Entry*>> rows;
+  bool more = false;
+  for (const auto& [k, e] : data) {
+    if (!k.starts_with(prefix) || (!after.empty() && k <= after)) continue;
+    if (rows.size() == most) {
+      more = true;
+      break;
+    }
+    rows.emplace_back(k, &e);
+  }
+  Writer w;
+  w.map(3).key("rows").list(rows.size());
+  for (const auto& [k, e] : rows) {
+    w.map(3).key("key").text(k).key("v").raw(e->value).key("stamp").count(e->stamp);
+  }
+  w.key("more").flag(more).key("ledgerRev").count(revision_);
+  return reply(200, w.take());
+}
+
+// All requests but watches.
+Reply StateService::execute(const Call& call) {
+  const auto doc = Document::parse(call.body);
+  const View root = doc ? doc->root() : View();
+  if (call.target == "/multi") return multi(root);
+  if (call.target == "/leases") {
+    const Millis ttl(*root["ttlMs"].count());
+    leases_[next_lease_] = Lease{ttl, loop_.now() + ttl};
+    Writer w;
+    w.map(1).key("tenancy").count(next_lease_++);
+    return reply(200, w.take());
+  }
+  if (call.target.starts_with("/leases/")) return lease_request(call.method, call.target);
+  if (call.target.starts_with("/keys/")) return read_key(call.target);
+  if (call.target.starts_with("/keys?")) return list_keys(call.target);
+  return reply(400);
+}
+
 Task<Reply> StateService::serve(Call call) {
   ++requests;
   const Fate f = fate ? fate(call) : Fate::normal;
@@ -199,65 +268,11 @@
     co_return Reply{};
   }
   expire();
-  const auto doc = Document::parse(call.body);
-  const View root = doc ? doc->root() : View();
-  Reply out = reply(400);
+  Reply out;
   if (call.target.starts_with("/changes")) {
     out = co_await changes(call.target, call.deadline);
-  } else if (call.target == "/multi") {
-    out = multi(root);
-  } else if (call.target == "/leases") {
-    const Millis ttl(*root["ttlMs"].count());
-    leases_[next_lease_] = Lease{ttl, loop_.now() + ttl};
-    Writer w;
-    w.map(1).key("tenancy").count(next_lease_++);
-    out = reply(200, w.take());
-  } else if (call.target.starts_with("/leases/")) {
-    const uint64_t id = std::stoull(call.target.substr(8));
-    const auto it = leases_.find(id);
-    if (it == leases_.end()) {
-      out = reply(404);
-    } else if (call.method == "DELETE") {
-      it->second.ends = loop_.now();
-      expire();
-      out = reply(200);
-    } else {
-      it->second.ends = loop_.now() + it->second.ttl;
-      out = reply(200);
-    }
-  } else if (call.target.starts_with("/keys/")) {
-    const auto it = data.find(call.target.substr(6));
-    Writer w;
-    if (it == data.end()) {
-      w.map(1).key("ledgerRev").count(revision_);
-      out = reply(404, w.take());
-    } else {
-      w.map(4).key("key").text(it->first).key("v").raw(it->second.value);
-      w.key("stamp").count(it->second.stamp).key("tenancy");
-      it->second.lease ? w.count(it->second.lease) : w.null();
-      out = reply(200, w.take());
-    }
-  } else if (call.target.starts_with("/keys?")) {
-    const std::string prefix = param(call.target, "starts");
-    const std::string after = param(call.target, "since");
-    const uint64_t most = number(param(call.target, "most"));
-    std::vector<std::pair<std::string, Entry*>> rows;
-    bool more = false;
-    for (auto& [k, e] : data) {
-      if (!k.starts_with(prefix) || (!after.empty() && k <= after)) continue;
-      if (rows.size() == most) {
-        more = true;
-        break;
-      }
-      rows.emplace_back(k, &e);
-    }
-    Writer w;
-    w.map(3).key("rows").list(rows.size());
-    for (const auto& [k, e] : rows) {
-      w.map(3).key("key").text(k).key("v").raw(e->value).key("stamp").count(e->stamp);
-    }
-    w.key("more").flag(more).key("ledgerRev").count(revision_);
-    out = reply(200, w.take());
+  } else {
+    out = execute(call);
   }
   if (f == Fate::slow_reply) co_await loop_.sleep(late_by);
   if (f == Fate::lose_reply) {
@@ -531,6 +546,7 @@
 
 Site::Node::Node(Site& s, size_t index) : site(s) {
   platform = Site::platform(index, 3);
+  if (s.adjust_platform) s.adjust_platform(platform);
   daemon = std::make_unique<node::Daemon>(s.loop, platform, s.op, *this,
                                           static_cast<uint32_t>(index + 7));
   daemon->start_parts();
@@ -572,8 +588,10 @@
   http::Response none;
   none.status = 0;
   if (n.dead) co_return none;
+  if (on_request) request = on_request(std::move(request));
   http::Response r = co_await n.daemon->handle(std::move(request));
   if (n.dead) co_return none;
+  if (on_response) on_response(r);
   co_return r;
 }
 
@@ -600,7 +618,7 @@
   p.cancel = Seconds(39);
   p.state_rps = 1000;
   p.state_write_rps = 1000;
-  p.value_bytes = 8 * 1024;
+  p.value_bytes = size_t{8} * 1024;
   p.txn_ops = 16;
   p.cloud_rps = 4;
   p.list_lag = Seconds(8);
@@ -667,7 +685,10 @@
   for (const auto& t : cloud.types) {
     if (t.name == m.type) type = &t;
   }
-  const std::string address = "10.1.0." + std::to_string(workers.size() + 1) + ":9000";
+  if (!type) throw std::runtime_error("a machine of a type that the cloud does not list");
+  const size_t number = workers.size() + 1;
+  const std::string address =
+      "10.1." + std::to_string(number / 256) + "." + std::to_string(number % 256) + ":9000";
   auto w = std::make_unique<Worker>(loop, m.id, *type, m.zone, m.spot, address, seconds(14));
   w->specs = &specs;
   Worker* raw = w.get();
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -105,6 +105,10 @@
     std::string value;
   };
   void expire();
+  http::Reply execute(const http::Call& call);
+  http::Reply lease_request(const std::string& method, const std::string& target);
+  http::Reply read_key(const std::string& target) const;
+  http::Reply list_keys(const std::string& target) const;
   http::Reply multi(wire::View root);
   Task<void> multi_later(std::string body);
   Task<http::Reply> changes(std::string target, Instant deadline);
@@ -240,6 +244,8 @@
   size_t copies(const TaskRef& t) const;
 
   settings::Operator op;
+  // Applied to the platform's settings of every process that starts from now on.
+  std::function<void(settings::Platform&)> adjust_platform;
   const settings::Platform rules_platform = platform(0, 3);
   Rules rules{clock, rules_platform};
   StateService state{loop};
@@ -252,6 +258,9 @@
   size_t ran_twice = 0;
   size_t starts = 0;
   std::function<void(Worker&)> on_worker;  // each new one
+  // What passes between the peers and a controller; for measuring what its encoding costs.
+  std::function<http::Request(http::Request)> on_request;
+  std::function<void(const http::Response&)> on_response;
 
  private:
   Task<void> sweep_rules();
