--- /dev/null
+++ b/benchmarks/cost_driver.cpp
@@ -0,0 +1,202 @@
+// Drives one controller with scripted peers at a given cluster size, so that its processor time can
+// be attributed under callgrind (see cost_table.sh). Time is simulated and seeds are fixed, so two
+// runs of one binary execute the same instructions. Every request passes through the HTTP parser
+// and renderer, as it would on a socket; system calls are not part of it.
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "dunlinknot/http/message.hpp"
+#include "support.hpp"
+
+namespace dunlinknot::test {
+namespace {
+
+struct Load {
+  uint32_t machines = 600;
+  uint32_t seconds = 60;
+  uint32_t array_tasks = 110;    // of each submitted array
+  double task_cpus = 3;          // of each task
+  double jobs_per_second = 0.6;  // arrays and gangs together
+  double polls_per_second = 18;  // over all jobs so far
+  double task_seconds = 100;     // mean run time
+  uint32_t take_overs = 1;       // restarts of the controller, spread over the run
+};
+
+struct Counts {
+  uint64_t reports = 0;
+  uint64_t report_bytes = 0;
+  uint64_t submissions = 0;
+  uint64_t polls = 0;
+  uint64_t ready_probes = 0;
+};
+
+// The request as a controller's server would read it off a connection.
+http::Request through_parser(const http::Request& request) {
+  http::Parser parser(http::Parser::Kind::request, http::Limits{});
+  const std::string bytes =
+      http::render_request(request.method, request.target, "127.0.0.1:1000", request.body);
+  if (parser.feed(bytes) != http::Parser::Result::complete) {
+    throw std::runtime_error("a rendered request could not be parsed");
+  }
+  return parser.take();
+}
+
+class Driver {
+ public:
+  explicit Driver(const Load& load) : load_(load) {
+    site_.adjust_platform = [](settings::Platform& p) {
+      p.teams = {{"red", 2000, 0, 400, 0}, {"blue", 2000, 0, 400, 0}, {"tiny", 0, 4, 0, 0}};
+      p.report = Seconds(2.5);
+      p.state_rps = 200;
+      p.state_write_rps = 80;
+      p.value_bytes = 16 * 1024;
+      p.max_connections = 1800;
+    };
+    site_.cloud.types = catalog();
+    site_.cloud.capacity["cpu/a/ordinary"] = load.machines / 2;
+    site_.cloud.capacity["cpu/b/ordinary"] = load.machines / 4;
+    site_.cloud.capacity["gpu/a/ordinary"] = load.machines / 4;
+    site_.op.max_machines = load.machines;
+    site_.on_worker = [this](Worker& w) {
+      w.run_time = [this](const TaskRef& task) {
+        const double factor = 0.5 + static_cast<double>(task.index * 37 % 100) / 100;
+        return to_nanos(Seconds(load_.task_seconds * factor));
+      };
+    };
+    site_.on_request = [this](http::Request request) {
+      if (request.target == "/agent/beat") {
+        ++counts_.reports;
+        counts_.report_bytes += request.body.size();
+      }
+      return through_parser(request);
+    };
+    site_.on_response = [](const http::Response& response) {
+      if (http::render_response(response, true).empty()) std::abort();
+    };
+    site_.restart(0);
+  }
+
+  void run() {
+    site_.run_for(seconds(3));
+    const Instant begin = site_.clock.now();
+    const Instant end = begin + seconds(load_.seconds);
+    uint32_t restarts = 0;
+    double jobs_due = 75;  // what waits at the start
+    double polls_due = 0;
+    while (site_.clock.now() < end) {
+      for (; jobs_due >= 1; --jobs_due) site_.loop.spawn(submit_next());
+      for (; polls_due >= 1; --polls_due) site_.loop.spawn(poll_one());
+      site_.loop.spawn(probe());
+      site_.run_for(seconds(1));
+      jobs_due += load_.jobs_per_second;
+      polls_due += load_.polls_per_second;
+      const auto elapsed = site_.clock.now() - begin;
+      if (restarts < load_.take_overs &&
+          elapsed >= seconds(load_.seconds) * (restarts + 1) / (load_.take_overs + 1)) {
+        site_.restart(0);
+        ++restarts;
+      }
+    }
+  }
+
+  void print() const {
+    std::cout << "machines " << site_.workers.size() << ", tasks started " << site_.starts
+              << ", reports " << counts_.reports << " (" << counts_.report_bytes
+              << " bytes), submissions " << counts_.submissions << ", polls " << counts_.polls
+              << ", probes " << counts_.ready_probes << ", state requests " << site_.state.requests
+              << "\n";
+  }
+
+ private:
+  static std::vector<MachineType> catalog() {
+    MachineType cpu;
+    cpu.name = "cpu";
+    cpu.size = {32, 0, 128};
+    cpu.cache_gb = 60;
+    cpu.fetch_gb_per_s = 1;
+    cpu.price = 1;
+    cpu.spot_price = 0.4;
+    cpu.boot = Seconds(5);
+    cpu.zones = {"a", "b"};
+    MachineType gpu = cpu;
+    gpu.name = "gpu";
+    gpu.size = {64, 8, 512};
+    gpu.price = 8;
+    gpu.spot_price = 3;
+    return {cpu, gpu};
+  }
+
+  JobSpec next_job() {
+    JobSpec spec = job("run-" + std::to_string(100'000 + counts_.submissions), load_.array_tasks);
+    spec.team = counts_.submissions % 2 == 0 ? "red" : "blue";
+    spec.estimate = Seconds(load_.task_seconds);
+    spec.need = {load_.task_cpus, 0, 4};
+    switch (counts_.submissions % 5) {
+      case 0:
+        spec.gang = true;
+        spec.one_zone = true;
+        spec.tasks = 8;
+        spec.need.cpus = 16;
+        spec.priority = Priority::high;
+        break;
+      case 1:
+        spec.tasks = 16;
+        spec.need = {4, 1, 32};
+        break;
+      default:
+        break;
+    }
+    return spec;
+  }
+
+  Task<void> submit_next() {
+    const JobSpec spec = next_job();
+    ++counts_.submissions;
+    site_.specs[spec.id] = spec;
+    wire::Writer body;
+    wire::write_job(body, spec);
+    http::Request request;
+    request.method = "POST";
+    request.target = "/v1/jobs";
+    request.body = body.take();
+    (void)co_await site_.handle(0, std::move(request));
+  }
+
+  Task<void> poll_one() {
+    if (counts_.submissions == 0) co_return;
+    const uint64_t which = ++counts_.polls * 7919 % counts_.submissions;
+    http::Request request;
+    request.method = "GET";
+    request.target = "/v1/jobs/run-" + std::to_string(100'000 + which);
+    (void)co_await site_.handle(0, std::move(request));
+  }
+
+  Task<void> probe() {
+    ++counts_.ready_probes;
+    http::Request request;
+    request.method = "GET";
+    request.target = "/ready";
+    (void)co_await site_.handle(0, std::move(request));
+  }
+
+  Load load_;
+  Counts counts_;
+  Site site_;
+};
+
+}  // namespace
+}  // namespace dunlinknot::test
+
+int main(int argc, char** argv) {
+  dunlinknot::test::Load load;
+  CLI::App app{"Drives one controller at a given cluster size, for callgrind"};
+  app.add_option("--machines", load.machines, "Machines of the cluster");
+  app.add_option("--seconds", load.seconds, "Simulated seconds");
+  app.add_option("--take-overs", load.take_overs, "Restarts of the controller");
+  app.add_option("--polls-per-second", load.polls_per_second, "Users' questions");
+  CLI11_PARSE(app, argc, argv);
+  dunlinknot::test::Driver driver(load);
+  driver.run();
+  driver.print();
+  return 0;
+}
