Scheduler: kinds of machines found without a string key each, no index over all machines; reports read into reserved room

Cause (callgrind, 452 machines, 100 s simulated): a round spent over half of its instructions on looking up each machine's kind by three strings and on an index over all machines that only nominations read.

--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <deque>
 #include <limits>
-#include <unordered_map>
 
 namespace dunlinknot::scheduler {
 
@@ -185,7 +184,7 @@
       const bool ready = usable(*h);
       const bool coming = expected_up(*h);
       if ((!ready && !coming) || h->size.cpus <= 0) continue;
-      Slot& s = add_slot(h.get(), *h, {h->type, h->zone, h->spot}, coming);
+      Slot& s = add_slot(h.get(), *h, kind_of(*h), coming);
       s.ahead = h->ahead;
       for (const Booking& b : h->bookings) {
         if (b.ahead || b.state != TaskState::fetching || b.image.empty()) continue;
@@ -207,11 +206,19 @@
     return it->second;
   }
 
-  Slot& add_slot(const Host* host, const Host& as, const Offer& offer, bool coming) {
-    Kind& kind = kind_of(offer);
+  // Machines of one kind mostly stand side by side, since they were rented together: the kind of
+  // the one before is tried first.
+  Kind& kind_of(const Host& h) {
+    const auto is_of = [&](const Offer& o) {
+      return o.spot == h.spot && o.type == h.type && o.zone == h.zone;
+    };
+    if (!last_kind_ || !is_of(last_kind_->offer)) last_kind_ = &kind_of({h.type, h.zone, h.spot});
+    return *last_kind_;
+  }
+
+  Slot& add_slot(const Host* host, const Host& as, Kind& kind, bool coming) {
     Slot& s = slots_.emplace_back(host, Room(as, nominations_, as.size), kind, coming);
     kind.slots(coming).push_back(&s);
-    if (host) by_host_[host->id] = &s;
     return s;
   }
 
@@ -220,7 +227,7 @@
     if (!t) return nullptr;
     auto imagined = std::make_unique<Host>();
     imagined->size = t->size;
-    Slot& s = add_slot(nullptr, *imagined, offer, true);
+    Slot& s = add_slot(nullptr, *imagined, kind_of(offer), true);
     imagined_.push_back(std::move(imagined));
     return &s;
   }
@@ -574,9 +581,11 @@
     return placed;
   }
 
+  // Only nominations are looked up, and they are few: no index over all machines is kept for them.
   Slot* slot_of(const std::string& host) {
-    const auto it = by_host_.find(host);
-    return it == by_host_.end() ? nullptr : it->second;
+    const auto it = std::find_if(slots_.begin(), slots_.end(),
+                                 [&](const Slot& s) { return s.host && s.host->id == host; });
+    return it == slots_.end() ? nullptr : &*it;
   }
 
   // On a machine of a kind that the job allows: not where it failed, and its record has room.
@@ -1115,8 +1124,8 @@
   Instant now_;
   std::set<std::string> guaranteed_;
   std::map<Offer, Kind> kinds_;
-  std::deque<Slot> slots_;  // they stay where they are
-  std::unordered_map<std::string_view, Slot*> by_host_;
+  std::deque<Slot> slots_;     // they stay where they are
+  Kind* last_kind_ = nullptr;  // of the machine looked at last
   std::vector<std::unique_ptr<Host>> imagined_;
   std::vector<Resources> usage_;
   std::vector<Resources> given_up_;  // by team: victims chosen in this round
--- a/src/dunlinknot/wire/messages.cpp
+++ b/src/dunlinknot/wire/messages.cpp
@@ -248,6 +248,7 @@
   }
   const View tasks = r["pieces"];
   if (!tasks.null() && !tasks.is_list()) return std::nullopt;
+  b.tasks.reserve(tasks.size());
   for (size_t i = 0; i < tasks.size(); ++i) {
     const View t = tasks.at(i);
     TaskReport out;
