--- a/src/dunlinknot/cluster/job.cpp
+++ b/src/dunlinknot/cluster/job.cpp
@@ -6,8 +6,8 @@
 
 namespace dunlinknot::cluster {
 
-Job::Job(JobSpec spec, WallTime submitted, uint64_t stamp_, int team, Instant known_since)
-    : stamp(stamp_),
+Job::Job(JobSpec spec, WallTime submitted, uint64_t record_stamp, int team, Instant known_since)
+    : stamp(record_stamp),
       waiting_since(known_since),
       spec_(std::move(spec)),
       submitted_(submitted),
@@ -52,8 +52,8 @@
   }
 }
 
-void Job::load_chunk(uint32_t chunk, const std::vector<bool>& done, uint64_t stamp_) {
-  chunk_stamps[chunk] = stamp_;
+void Job::load_chunk(uint32_t chunk, const std::vector<bool>& done, uint64_t record_stamp) {
+  chunk_stamps[chunk] = record_stamp;
   const size_t begin = size_t{chunk} * wire::kChunkTasks;
   const size_t end = std::min<size_t>(done.size(), begin + wire::kChunkTasks);
   for (size_t i = begin; i < end; ++i) {
@@ -67,8 +67,8 @@
   }
 }
 
-void Job::chunk_stored(uint32_t chunk, const std::vector<bool>& as_written, uint64_t stamp_) {
-  chunk_stamps[chunk] = stamp_;
+void Job::chunk_stored(uint32_t chunk, const std::vector<bool>& as_written, uint64_t record_stamp) {
+  chunk_stamps[chunk] = record_stamp;
   const size_t begin = size_t{chunk} * wire::kChunkTasks;
   const size_t end = std::min<size_t>(done_.size(), begin + wire::kChunkTasks);
   bool clean = true;
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -108,9 +108,9 @@
     out.status = 405;
   } else if (path.starts_with("/v1/jobs/")) {
     std::string_view id = path.substr(9);
-    constexpr std::string_view withdraw = "/withdraw";
-    if (id.ends_with(withdraw)) {
-      id.remove_suffix(withdraw.size());
+    constexpr std::string_view kWithdraw = "/withdraw";
+    if (id.ends_with(kWithdraw)) {
+      id.remove_suffix(kWithdraw.size());
       if (post) co_return co_await jobs_.withdraw(std::string(id));
       out.status = 405;
     } else if (get) {
--- a/src/dunlinknot/wire/messages.cpp
+++ b/src/dunlinknot/wire/messages.cpp
@@ -86,9 +86,9 @@
 namespace wire {
 
 bool valid_job_id(std::string_view id) {
-  constexpr std::string_view prefix = "run-";
-  if (!id.starts_with(prefix)) return false;
-  id.remove_prefix(prefix.size());
+  constexpr std::string_view kPrefix = "run-";
+  if (!id.starts_with(kPrefix)) return false;
+  id.remove_prefix(kPrefix.size());
   return id.size() >= 6 && id.size() <= 18 &&
          std::all_of(id.begin(), id.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
