--- a/src/dunlinknot/cluster/reports.cpp
+++ b/src/dunlinknot/cluster/reports.cpp
@@ -206,7 +206,12 @@
   if (t.state == booking->state) return obeyed;
   if (t.state == TaskState::running) {
     if (booking->running_since == Instant{}) booking->running_since = now;
-    if (j) ++j->running;
+    if (j) {
+      if (j->running == 0 && j->done_count() == 0) {
+        spdlog::debug("job {}: a task runs on {}", t.task.job, h.id);
+      }
+      ++j->running;
+    }
   } else if (booking->state == TaskState::running && j && j->running > 0) {
     --j->running;
   }
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -20,6 +20,8 @@
 constexpr auto kStateIdle = Millis(700);
 constexpr auto kProbeTime = Millis(600);  // the load balancer waits 1 s
 constexpr size_t kOtherCalls = 64;
+constexpr auto kWaitingLogEvery = std::chrono::seconds(10);
+constexpr Seconds kLongWait{60};
 constexpr double kBudgetShare = 0.85;  // of the state service's limits, for one node
 
 }  // namespace
@@ -316,10 +318,27 @@
     return scheduler::plan(p.cluster, p.nominations, market, platform_, op_, loop_.wall(), now);
   });
   apply(plan, now);
+  log_waiting(plan, now);
   fleet_.order(plan.wishes);
   fleet_.sweep(plan.wanted, plan.waiting_tasks, now);
 }
 
+// At `debug`, now and then, what each job waits for that should have begun long ago.
+void Daemon::log_waiting(const scheduler::Plan& plan, Instant now) {
+  if (!spdlog::should_log(spdlog::level::debug) || now < next_waiting_log_) return;
+  next_waiting_log_ = now + kWaitingLogEvery;
+  domain_.picture.with([&](Picture& p) {
+    for (const auto& [id, cause] : plan.waiting_jobs) {
+      const Job* j = p.cluster.job(id);
+      if (!j) continue;
+      const std::chrono::duration<double> waited = loop_.wall() - j->submitted();
+      if (waited < kLongWait) continue;
+      spdlog::debug("job {} of {} waits for {:.0f} s: {}", id, j->spec().job_class, waited.count(),
+                    scheduler::text(cause));
+    }
+  });
+}
+
 void Daemon::apply(const scheduler::Plan& plan, Instant now) {
   bool booked = false;
   Needs needs;
--- a/src/dunlinknot/node/daemon.hpp
+++ b/src/dunlinknot/node/daemon.hpp
@@ -38,6 +38,7 @@
   Task<void> take_over(uint64_t reign);
   Task<void> rounds(uint64_t reign);
   void one_round(Instant now);
+  void log_waiting(const scheduler::Plan& plan, Instant now);
   void apply(const scheduler::Plan& plan, Instant now);
   Task<void> learn_catalog();
   Task<void> keep_catalog(uint64_t reign);
@@ -64,6 +65,7 @@
   std::vector<MachineType> catalog_;
   std::unique_ptr<http::Server> server_;
   uint64_t evictions_ = 0;
+  Instant next_waiting_log_{};
 };
 
 }  // namespace dunlinknot::node
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -447,59 +447,82 @@
     return keep_for_gang(j, Lend::any);
   }
 
+  // The cause for which the job did not begin in this round, if it has not begun.
+  void note_waiting(const Job& j, WaitCause cause) {
+    if (j.live_count() > j.ahead || j.done_count() > 0) return;
+    plan_.waiting_jobs.push_back({j.spec().id, j.ahead > 0 ? WaitCause::booked_ahead : cause});
+  }
+
   // --- one job
   void consider(const Waiting& w) {
     const Job& j = *w.job;
     if (overdue_placed_.contains(&j)) return;
-    const auto team = static_cast<size_t>(j.team());
-    const uint32_t allowed = below_limit(j);
     plan_.waiting_tasks += j.pending();
-    if (j.spec().gang) {
-      if (j.any_live()) return;
-      if (allowed < j.spec().tasks) {
-        // Its team's limit is used up by work behind it in the queue: what that leaves is saved up
-        // for the gang, else smaller tasks take it piece by piece and the gang never starts.
-        usage_[team] += j.spec().need * j.spec().tasks;
-        plan_.saved[team] += j.spec().need * j.spec().tasks;
-        return;
-      }
-      // Machines with accelerators are borrowed last: a gang's task there strands accelerators for
-      // as long as it runs. While other work waits for them, it first waits a moment for the room
-      // that short work leaves elsewhere, and for dear ones until no other room can be had.
-      // It waits for a machine to come up only where that is in time for its start, or too late in
-      // any case.
-      const double within = start_within(w);
-      const double left = within - waited(j);
-      for (const Lend lend : {Lend::none, Lend::cheap, Lend::any}) {
-        if (place_gang(j, false, lend)) return;
-        const bool last = lend == Lend::any;
-        const double boot = last || left <= 0 ? 0 : soonest_boot(j.spec(), lend);
-        if (boot < std::max(left, 0.1) && (place_gang(j, true, lend) || rent_gang(w, lend))) return;
-        const bool waits =
-            lend != Lend::none || (accelerators_wanted_ && waited(j) < within * kPatience);
-        const double most = last ? std::numeric_limits<double>::max() : std::max(left, 0.0);
-        // What it waits for longer is no machine where its tasks strand several accelerators.
-        if (waits && keep_for_gang(j, last ? Lend::cheap : lend, most)) return;
+    if (!j.spec().gang) {
+      consider_array(w);
+    } else if (!j.any_live()) {
+      if (const auto cause = consider_gang(w)) note_waiting(j, *cause);
+    }
+  }
+
+  // Returns what the gang waits for, or nothing when it was placed.
+  std::optional<WaitCause> consider_gang(const Waiting& w) {
+    const Job& j = *w.job;
+    const auto team = static_cast<size_t>(j.team());
+    if (below_limit(j) < j.spec().tasks) {
+      // Its team's limit is used up by work behind it in the queue: what that leaves is saved up
+      // for the gang, else smaller tasks take it piece by piece and the gang never starts.
+      usage_[team] += j.spec().need * j.spec().tasks;
+      plan_.saved[team] += j.spec().need * j.spec().tasks;
+      return WaitCause::team_limit;
+    }
+    // Machines with accelerators are borrowed last: a gang's task there strands accelerators for
+    // as long as it runs. While other work waits for them, it first waits a moment for the room
+    // that short work leaves elsewhere, and for dear ones until no other room can be had.
+    // It waits for a machine to come up only where that is in time for its start, or too late in
+    // any case.
+    const double within = start_within(w);
+    const double left = within - waited(j);
+    for (const Lend lend : {Lend::none, Lend::cheap, Lend::any}) {
+      if (place_gang(j, false, lend)) return std::nullopt;
+      const bool last = lend == Lend::any;
+      const double boot = last || left <= 0 ? 0 : soonest_boot(j.spec(), lend);
+      if (boot < std::max(left, 0.1) && (place_gang(j, true, lend) || rent_gang(w, lend))) {
+        return WaitCause::machine_coming;
       }
-      return;
+      const bool waits =
+          lend != Lend::none || (accelerators_wanted_ && waited(j) < within * kPatience);
+      const double most = last ? std::numeric_limits<double>::max() : std::max(left, 0.0);
+      // What it waits for longer is no machine where its tasks strand several accelerators.
+      if (waits && keep_for_gang(j, last ? Lend::cheap : lend, most)) return WaitCause::room_kept;
     }
+    return WaitCause::no_room;
+  }
+
+  void consider_array(const Waiting& w) {
+    const Job& j = *w.job;
+    const uint32_t allowed = below_limit(j);
     uint32_t want = std::min(j.pending(), allowed);
     // What went first because nothing of it was started begins; the rest has its ordinary turn.
     if (w.overdue && j.done_count() == 0) want = std::min(want, j.spec().tasks / kFirstShare + 1);
     std::vector<uint64_t> own = nominations_.of(j.spec().id);
-    uint32_t open = 0;
     uint32_t placed = 0;
+    WaitCause cause = WaitCause::team_limit;
     if (want > 0) {
       placed = place_nominated(j, want, own);
       placed += place_array(w, want - placed, own);
       // What has a nomination waits for its room; the rest may use machines that are coming, then
       // rent.
       want -= placed;
-      open = want > own.size() ? want - static_cast<uint32_t>(own.size()) : 0;
+      const uint32_t wanted = want > own.size() ? want - static_cast<uint32_t>(own.size()) : 0;
+      uint32_t open = wanted;
       if (open > 0) open -= place_coming(w, open);
       if (open > 0) open -= rent_array(w, open);
+      cause = open < wanted ? WaitCause::machine_coming : WaitCause::no_room;
+      if (!own.empty()) cause = WaitCause::eviction;
       preempt(w, own, open);
     }
+    if (placed == 0) note_waiting(j, cause);
     if (placed == j.pending() && placed < allowed) {
       // Room for what waits elsewhere: it need not wait, if that is sooner.
       (void)place_array(w, std::min(j.ahead, allowed - placed), own, ahead_span_);
@@ -1144,6 +1167,24 @@
 
 }  // namespace
 
+std::string_view text(WaitCause cause) {
+  switch (cause) {
+    case WaitCause::team_limit:
+      return "its team's limit";
+    case WaitCause::booked_ahead:
+      return "a task to end on the machine where it is booked";
+    case WaitCause::machine_coming:
+      return "a machine that is coming";
+    case WaitCause::eviction:
+      return "tasks that are being stopped for it";
+    case WaitCause::room_kept:
+      return "tasks to end where room is kept for it";
+    case WaitCause::no_room:
+      return "room, and none can be rented";
+  }
+  return "";
+}
+
 std::set<std::string> within_guarantee(const Cluster& cluster) {
   std::vector<std::vector<const Job*>> by_team(cluster.teams().size());
   for (const auto& [id, j] : cluster.jobs()) {
--- a/src/dunlinknot/scheduler/scheduler.hpp
+++ b/src/dunlinknot/scheduler/scheduler.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -63,6 +64,22 @@
   uint64_t renews = 0;  // the nomination that this one replaces
 };
 
+// What a job that has not begun waits for.
+enum class WaitCause : uint8_t {
+  team_limit,      // its team's limit is used up, or saved up for it
+  booked_ahead,    // a task to end on the machine where it is booked
+  machine_coming,  // a machine that boots or was asked for
+  eviction,        // tasks that are being stopped for it
+  room_kept,       // room is kept for it where tasks are to end
+  no_room,         // no allowed machine has room, and none can be rented
+};
+std::string_view text(WaitCause cause);
+
+struct WaitingJob {
+  std::string job;
+  WaitCause cause;
+};
+
 struct Plan {
   std::vector<Placement> placements;
   std::vector<GangPlacement> gangs;
@@ -74,6 +91,7 @@
   std::vector<uint64_t> cleared;    // nominations that came to nothing
   std::vector<std::string> wanted;  // idle machines that waiting work will use: not to be returned
   size_t waiting_tasks = 0;
+  std::vector<WaitingJob> waiting_jobs;  // that have not begun
 };
 
 Plan plan(const cluster::Cluster& cluster, const preemption::Nominations& nominations,
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -491,5 +491,93 @@
   EXPECT_EQ(plan().placements.size(), 1u);
 }
 
+// The cause of each job that has not begun, by its id.
+std::map<std::string, WaitCause> wait_causes(const Plan& p) {
+  std::map<std::string, WaitCause> out;
+  for (const auto& waiting : p.waiting_jobs) out[waiting.job] = waiting.cause;
+  return out;
+}
+
+TEST_F(SchedulerTest, AJobThatBeginsInTheRoundWaitsForNothing) {
+  machine("vm-1");
+  add(job("run-000001", 1));
+  EXPECT_TRUE(wait_causes(plan()).empty());
+}
+
+TEST_F(SchedulerTest, TellsThatNoMachineHasRoomAndNoneCanBeRented) {
+  run(add(job("run-000001", 1)), machine("vm-1"));
+  JobSpec large = job("run-000002", 1);
+  large.need.cpus = 8;
+  add(large);
+  JobSpec gang = job("run-000003", 2);
+  gang.gang = true;
+  gang.need.cpus = 8;
+  add(gang);
+  const auto causes = wait_causes(plan());
+  EXPECT_EQ(causes.size(), 2u) << "what has begun waits for nothing";
+  EXPECT_EQ(causes.at("run-000002"), WaitCause::no_room);
+  EXPECT_EQ(causes.at("run-000003"), WaitCause::no_room);
+}
+
+TEST_F(SchedulerTest, TellsThatATeamIsAtItsLimit) {
+  JobSpec s = job("run-000001", 1);
+  s.team = "tiny";  // at most 4 cpus
+  s.need.cpus = 4;
+  run(add(s), machine("vm-1"));
+  machine("vm-2");
+  s.id = "run-000002";
+  add(s);
+  JobSpec gang = job("run-000003", 2);
+  gang.team = "tiny";
+  gang.gang = true;
+  add(gang);
+  const auto causes = wait_causes(plan());
+  EXPECT_EQ(causes.at("run-000002"), WaitCause::team_limit);
+  EXPECT_EQ(causes.at("run-000003"), WaitCause::team_limit);
+}
+
+TEST_F(SchedulerTest, TellsThatAMachineIsComing) {
+  market.refused.clear();
+  add(job("run-000001", 1));
+  EXPECT_EQ(wait_causes(plan()).at("run-000001"), WaitCause::machine_coming);
+}
+
+TEST_F(SchedulerTest, TellsThatRoomIsKeptForAGang) {
+  run(add(job("run-000001", 1)), machine("vm-1"));
+  JobSpec gang = job("run-000002", 1);
+  gang.gang = true;
+  gang.need.cpus = 8;
+  add(gang);
+  EXPECT_EQ(wait_causes(plan()).at("run-000002"), WaitCause::room_kept);
+}
+
+TEST_F(SchedulerTest, TellsThatAJobIsBookedAheadOnly) {
+  Host& h = machine("vm-1");
+  JobSpec large = job("run-000001", 1);
+  large.need.cpus = 8;
+  run(add(large), h);
+  Job& j = add(job("run-000002", 1));
+  c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), {}, now);
+  EXPECT_EQ(wait_causes(plan()).at("run-000002"), WaitCause::booked_ahead);
+}
+
+TEST_F(SchedulerTest, TellsThatTasksAreBeingStoppedForAJob) {
+  Host& h = machine("vm-1");
+  JobSpec low = job("run-000001", 1);
+  low.priority = Priority::low;
+  low.need.cpus = 8;
+  run(add(low), h);
+  JobSpec high = job("run-000002", 1);
+  high.priority = Priority::high;
+  high.need.cpus = 8;
+  add(high);
+  const Plan first = plan();
+  ASSERT_EQ(first.evictions.size(), 1u);
+  const auto& e = first.evictions.front();
+  n.add(e.job, e.host, e.room, e.priority, e.victims);
+  (void)c.preempt(h, e.victims.front().task, e.victims.front().attempt, now);
+  EXPECT_EQ(wait_causes(plan()).at("run-000002"), WaitCause::eviction);
+}
+
 }  // namespace
 }  // namespace dunlinknot::scheduler
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -735,9 +735,9 @@
   r.method = method;
   r.target = target;
   r.body = body;
-  constexpr std::string_view prefix = "/v1/jobs";
-  const bool users = target.starts_with(prefix);
-  std::string id = users && target.size() > prefix.size() ? target.substr(prefix.size() + 1) : "";
+  constexpr std::string_view kPrefix = "/v1/jobs";
+  const bool users = target.starts_with(kPrefix);
+  std::string id = users && target.size() > kPrefix.size() ? target.substr(kPrefix.size() + 1) : "";
   const bool withdraws = id.ends_with("/withdraw");
   if (withdraws) id.resize(id.size() - std::string_view("/withdraw").size());
   if (withdraws && method == "POST" && rules.was_accepted(id)) rules.cancel_asked(id);
@@ -750,7 +750,7 @@
   if (!users || id.empty() || out.status == 0) co_return out;
   const auto doc = Document::parse(out.body);
   const std::string standing(doc ? doc->root()["standing"].text().value_or("") : "");
-  if (target == prefix) {
+  if (target == kPrefix) {
     rules.submit_answered(id, out.status, standing, asked);
   } else if (withdraws) {
     rules.cancel_answered(id, out.status, standing, asked);
