--- a/src/dunlinknot/cluster/bookings.cpp
+++ b/src/dunlinknot/cluster/bookings.cpp
@@ -29,8 +29,8 @@
   return it == holders_.end() ? none : it->second;
 }
 
-Needs Cluster::end_booking(Host& h, size_t i, Instant now, bool gang_goes_on) {
-  Needs needs;
+Effects Cluster::end_booking(Host& h, size_t i, Instant now, bool gang_goes_on) {
+  Effects effects;
   const Booking b = std::move(h.bookings[i]);
   h.bookings.erase(h.bookings.begin() + static_cast<ptrdiff_t>(i));
   if (b.ahead) {
@@ -49,32 +49,32 @@
     if (holders->second.empty()) holders_.erase(holders);
   }
   h.trailing = true;
-  needs.schedule = true;
+  effects.schedule = true;
   Job* j = job(b.task.job);
-  if (!j || b.task.index >= j->spec().tasks) return needs;
+  if (!j || b.task.index >= j->spec().tasks) return effects;
   if (b.ahead) --j->ahead;
   if (b.state == TaskState::running && j->running > 0) --j->running;
   j->unbooked(b.task.index);
   if (!j->is_done(b.task.index)) j->waiting_since = now;
   if (b.gang && !gang_goes_on && !j->is_done(b.task.index)) {
-    break_gang(b.task.job, b.attempt, now, needs);
+    break_gang(b.task.job, b.attempt, now, effects);
   }
-  return needs;
+  return effects;
 }
 
 // A gang that lost a task will not go on: the rest is stopped at once rather than left to find out,
 // so that the next attempt need not wait for it. A gang told to save is left to its saving.
-void Cluster::break_gang(const std::string& id, uint64_t attempt, Instant now, Needs& needs) {
+void Cluster::break_gang(const std::string& id, uint64_t attempt, Instant now, Effects& effects) {
   for (Host* h : std::vector(holders(id))) {
     for (size_t i = h->bookings.size(); i-- > 0;) {
       if (i >= h->bookings.size()) continue;
       Booking& b = h->bookings[i];
       if (b.task.job != id || b.attempt != attempt) continue;
       if (b.unsent()) {
-        needs |= end_booking(*h, i, now, true);
+        effects |= end_booking(*h, i, now, true);
       } else if (!b.stopping()) {
         stop(*h, b, StopReason::gang_broken, Seconds(0), now);
-        needs.stops = true;
+        effects.stops = true;
       }
     }
   }
@@ -200,10 +200,10 @@
   }
 }
 
-Needs Cluster::preempt(Host& h, const TaskRef& task, uint64_t attempt, Instant now) {
-  Needs needs;
+Effects Cluster::preempt(Host& h, const TaskRef& task, uint64_t attempt, Instant now) {
+  Effects effects;
   Booking* b = h.find(task, attempt);
-  if (!b || b->stopping()) return needs;
+  if (!b || b->stopping()) return effects;
   if (b->unsent()) {
     // No worker will ever report it, so nothing would end it once it counted as being stopped.
     return end_booking(h, static_cast<size_t>(b - h.bookings.data()), now);
@@ -211,20 +211,20 @@
   const Job* j = job(task.job);
   const bool saves = j && j->spec().checkpoint > Seconds(0);
   stop(h, *b, StopReason::preempted, saves ? j->spec().save + Seconds(1) : Seconds(0), now);
-  needs.stops = true;
-  return needs;
+  effects.stops = true;
+  return effects;
 }
 
-Needs Cluster::drop_unsent(const std::string& id, Instant now) {
-  Needs needs;
+Effects Cluster::drop_unsent(const std::string& id, Instant now) {
+  Effects effects;
   for (Host* h : std::vector(holders(id))) {
     for (size_t i = h->bookings.size(); i-- > 0;) {
       if (i >= h->bookings.size()) continue;
       const Booking& b = h->bookings[i];
-      if (b.task.job == id && b.phase == Phase::planned) needs |= end_booking(*h, i, now);
+      if (b.task.job == id && b.phase == Phase::planned) effects |= end_booking(*h, i, now);
     }
   }
-  return needs;
+  return effects;
 }
 
 std::vector<StopCall> Cluster::take_stop_calls() {
--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -35,10 +35,10 @@
       record_limit_(platform.value_bytes - platform.value_bytes / 8),
       usage_(platform.teams.size()) {}
 
-void Cluster::begin_reign(uint64_t epoch, Instant now) {
+void Cluster::begin_term(uint64_t epoch, Instant now) {
   epoch_ = epoch;
   attempts_ = 0;
-  reign_since_ = now;
+  term_since_ = now;
   jobs_.clear();
   hosts_.clear();
   holders_.clear();
@@ -108,7 +108,7 @@
 }
 
 // Safety 1: a new leader books everything that any former leader booked. What of it really runs is
-// for the workers to say, under our baton.
+// for the workers to say, under our token.
 void Cluster::load_host(const std::string& id, const wire::HostRecord& record, uint64_t stamp,
                         Instant now) {
   Host& h = learn_host(id, record.type, record.zone, record.spot, now);
@@ -145,15 +145,15 @@
   return it == jobs_.end() ? nullptr : it->second.get();
 }
 
-Needs Cluster::close_job(const std::string& id, bool cancelled, Instant now) {
-  Needs needs;
+Effects Cluster::close_job(const std::string& id, bool cancelled, Instant now) {
+  Effects effects;
   const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return needs;
+  if (it == jobs_.end()) return effects;
   for (const auto& [n, stamp] : it->second->chunk_stamps) {
     dead_records_.emplace_back(wire::done_key(id, n), stamp);
   }
   jobs_.erase(it);
-  needs.schedule = true;
+  effects.schedule = true;
   // Safety 3: nothing of a closed job starts, and all of a cancelled one is stopped everywhere.
   // Bookings whose `run` never went out under us are simply undone; the others stay booked until
   // they are gone.
@@ -162,14 +162,14 @@
       Booking& b = h->bookings[i];
       if (b.task.job != id) continue;
       if (b.unsent()) {
-        needs |= end_booking(*h, i, now);
+        effects |= end_booking(*h, i, now);
       } else if (cancelled) {
         stop(*h, b, StopReason::cancelled, Seconds(0), now);
-        needs.stops = true;
+        effects.stops = true;
       }
     }
   }
-  return needs;
+  return effects;
 }
 
 void Cluster::set_catalog(std::vector<MachineType> types) {
@@ -211,33 +211,33 @@
   return *slot;
 }
 
-Needs Cluster::remove_host(const std::string& id, Instant now) {
-  Needs needs;
+Effects Cluster::remove_host(const std::string& id, Instant now) {
+  Effects effects;
   const auto it = hosts_.find(id);
-  if (it == hosts_.end()) return needs;
+  if (it == hosts_.end()) return effects;
   Host& h = *it->second;
-  while (!h.bookings.empty()) needs |= end_booking(h, h.bookings.size() - 1, now);
+  while (!h.bookings.empty()) effects |= end_booking(h, h.bookings.size() - 1, now);
   if (h.stamp != 0 || !h.stamp_known) dead_records_.emplace_back(wire::host_key(id), h.stamp);
   std::erase(held_hosts_, &h);  // found on reading: it was written to after it was gone
   hosts_.erase(it);
   std::erase_if(gone_, [&](const auto& g) { return now - g.second > kRememberGone; });
   gone_[id] = now;
-  needs.schedule = true;
-  return needs;
+  effects.schedule = true;
+  return effects;
 }
 
 Instant Cluster::silent_until(const Host& h) const {
-  // Safety 1: a worker that never bore our baton may still be answered by the leader before us,
+  // Safety 1: a worker that never bore our token may still be answered by the leader before us,
   // until that one's window is over.
-  return h.ours ? h.last_answered : std::max(h.last_answered, reign_since_ + blind_);
+  return h.ours ? h.last_answered : std::max(h.last_answered, term_since_ + blind_);
 }
 
 Instant Cluster::lease_over(const Host& h) const {
   return silent_until(h) + lease_;
 }
 
-Needs Cluster::expire(Instant now) {
-  Needs needs;
+Effects Cluster::expire(Instant now) {
+  Effects effects;
   for (auto& [id, h] : hosts_) {
     if (h->lost) continue;
     if (!h->heard && h->bookings.empty()) continue;  // nothing of ours was ever there
@@ -245,23 +245,23 @@
     spdlog::info("machine {} silent beyond its lease: {} bookings end", h->id, h->bookings.size());
     h->lost = h->heard;
     h->images.clear();
-    while (!h->bookings.empty()) needs |= end_booking(*h, h->bookings.size() - 1, now);
-    needs.schedule = true;
+    while (!h->bookings.empty()) effects |= end_booking(*h, h->bookings.size() - 1, now);
+    effects.schedule = true;
   }
-  return needs;
+  return effects;
 }
 
-Needs Cluster::tick(Instant now) {
-  Needs needs;
+Effects Cluster::tick(Instant now) {
+  Effects effects;
   const Nanos silent = to_nanos(platform_.report * 2 + Seconds(1));
   for (auto& [id, h] : hosts_) {
     // What waits on a machine that nothing is heard of, or that will not get it, goes elsewhere.
     // Found on days of our own with machines that fail their tasks: a drained one gets no `run`, so
     // what was booked there and not sent yet stayed for good, and its job with it.
-    if (h->recall_at || h->draining || h->deleting || h->deaf ||
+    if (h->recall_at || h->draining || h->deleting || h->unreachable ||
         (h->heard && now - h->last_heard >= silent)) {
       for (size_t i = h->bookings.size(); i-- > 0;) {
-        if (i < h->bookings.size() && h->bookings[i].unsent()) needs |= end_booking(*h, i, now);
+        if (i < h->bookings.size() && h->bookings[i].unsent()) effects |= end_booking(*h, i, now);
       }
     }
     if (!h->recall_at) continue;
@@ -280,8 +280,8 @@
       }
     }
   }
-  if (!stop_hosts_.empty()) needs.stops = true;
-  return needs;
+  if (!stop_hosts_.empty()) effects.stops = true;
+  return effects;
 }
 
 }  // namespace dunlinknot::cluster
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -1,5 +1,5 @@
-// The leader's picture of the cluster: open jobs, machines, and what is booked where. Everything
-// that comes from outside passes through here; nothing here does I/O.
+// The leader's view of the cluster: open jobs, machines, and what is booked where.
+// Everything that comes from outside passes through here; nothing here does I/O.
 //
 // A booking is the claim "this task may be on that machine". It is made before the task can start
 // and ends only when it is certain that the task is not there (any more). Limits, zones and room
@@ -27,7 +27,7 @@
   inherited,  // written down by a former leader, which may or may not have sent the `run`
 };
 
-enum class StopReason : uint8_t { none, preempted, recall, cancelled, stray, gang_broken, drain };
+enum class StopReason : uint8_t { none, preempted, recall, cancelled, orphan, gang_broken, drain };
 
 // Where a task stands among those that wait: the higher tier first, then what is due first.
 struct Turn {
@@ -82,17 +82,17 @@
   bool heard = false;
   uint64_t session = 0;
   uint64_t seq = 0;
-  bool ours = false;  // a report bore our baton: older batons are refused there from then on
+  bool ours = false;  // a report bore our token: older tokens are refused there from then on
   bool lost = false;  // silent beyond its lease; back only with a later session
   Instant last_heard{};
   Instant last_answered{};
-  uint64_t beat_session = 0, beat_seq = 0;  // of its last beat; direct reports may be newer
+  uint64_t report_session = 0, report_seq = 0;  // of its last report; direct reports may be newer
 
   // Signs that its reports reach us and our answers do not reach it.
-  uint32_t strikes = 0;
-  Instant first_strike{};
-  Instant last_strike{};
-  bool deaf = false;
+  uint32_t suspicions = 0;
+  Instant first_suspicion{};
+  Instant last_suspicion{};
+  bool unreachable = false;
   std::optional<Instant> recall_at;
 
   // What the cloud told.
@@ -140,19 +140,19 @@
 };
 
 // What an event made necessary; the caller wakes the parts concerned.
-struct Needs {
+struct Effects {
   bool schedule = false;
   bool store_hosts = false;
   bool store_done = false;
   bool stops = false;  // stop calls should go out at once
   bool runs = false;   // some machine may be sent a `run`
-  void operator|=(const Needs& o) {
+  void operator|=(const Effects& o) {
     schedule |= o.schedule, store_hosts |= o.store_hosts, store_done |= o.store_done;
     stops |= o.stops, runs |= o.runs;
   }
 };
 
-struct BeatAnswer {
+struct ReportResponse {
   enum class Kind { accept, stale, superseded } kind = Kind::accept;
   std::vector<Command> commands;
   bool read = false;      // newer than all that was known: it may be answered with orders
@@ -171,13 +171,13 @@
   Cluster(const settings::Platform& platform, const settings::Operator& op);
 
   // --- take-over
-  void begin_reign(uint64_t epoch, Instant now);
+  void begin_term(uint64_t epoch, Instant now);
   void load_job(wire::JobRecord record, uint64_t stamp, Instant now);
   void load_done(const std::string& job, uint32_t chunk, wire::View value, uint64_t stamp);
   void load_host(const std::string& id, const wire::HostRecord& record, uint64_t stamp,
                  Instant now);
   uint64_t epoch() const { return epoch_; }
-  Instant reign_since() const { return reign_since_; }
+  Instant term_since() const { return term_since_; }
   uint64_t next_attempt();
 
   // --- jobs
@@ -185,7 +185,7 @@
   const Job* job(const std::string& id) const;
   const std::map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
   // The job is over: cancelled by its user (its tasks are stopped), or done (nothing is left).
-  Needs close_job(const std::string& id, bool cancelled, Instant now);
+  Effects close_job(const std::string& id, bool cancelled, Instant now);
   const std::vector<settings::Team>& teams() const { return platform_.teams; }
   const TeamUsage& usage(int team) const { return usage_[static_cast<size_t>(team)]; }
 
@@ -204,23 +204,25 @@
   Host& learn_host(const std::string& id, std::string_view type, std::string_view zone, bool spot,
                    Instant now);
   // The cloud confirmed that the machine is gone, or its lease is over and it is not listed.
-  Needs remove_host(const std::string& id, Instant now);
+  Effects remove_host(const std::string& id, Instant now);
 
   // --- workers
-  BeatAnswer on_beat(const Beat& beat, Instant now, bool may_start, Needs& needs);
-  // The same in two steps, for an answer that waits a moment for a `run` (see workers::Desk).
-  BeatAnswer hear(const Beat& beat, Instant now, bool may_start, Needs& needs);
-  BeatAnswer orders(const Beat& beat, Instant now, bool may_start);
+  ReportResponse on_report(const WorkerReport& report, Instant now, bool may_start,
+                           Effects& effects);
+  // The same in two steps, for an answer that waits a moment for a `run` (see
+  // workers::ReportHandler).
+  ReportResponse hear(const WorkerReport& report, Instant now, bool may_start, Effects& effects);
+  ReportResponse orders(const WorkerReport& report, Instant now, bool may_start);
   // Machines that a `run` may go out to since this was last asked.
   std::vector<std::string> take_runnable() { return std::exchange(runnable_, {}); }
   // Whether the last round left work waiting for a place.
   void set_work_waits(bool waits) { work_waits_ = waits; }
   // A report that came as the answer to a direct call: news, but no proof of what is not in it.
-  Needs on_direct_report(const Beat& beat, Instant now);
+  Effects on_direct_report(const WorkerReport& report, Instant now);
   // Machines that our answers do not reach. When they are many it is our answers that are late.
-  std::vector<std::string> deaf_hosts() const;
+  std::vector<std::string> unreachable_hosts() const;
   // Ends the bookings of workers whose lease is certainly over.
-  Needs expire(Instant now);
+  Effects expire(Instant now);
   // When the lease of this machine's worker is certainly over, as far as is known now.
   Instant lease_over(const Host& h) const;
 
@@ -234,17 +236,17 @@
   void set_held(const std::map<std::string, Resources>& by_host, std::vector<Resources> by_team);
   void stop(Host& host, Booking& booking, StopReason reason, Seconds grace, Instant now);
   // Gives a booking up for another: undone at once if its `run` never went out, else stopped.
-  Needs preempt(Host& host, const TaskRef& task, uint64_t attempt, Instant now);
-  Needs drop_unsent(const std::string& job, Instant now);  // planned bookings of a job are undone
+  Effects preempt(Host& host, const TaskRef& task, uint64_t attempt, Instant now);
+  Effects drop_unsent(const std::string& job, Instant now);  // planned bookings of a job are undone
   std::vector<StopCall> take_stop_calls();
-  Needs tick(Instant now);  // recalls that are due, stops that hang
+  Effects tick(Instant now);  // recalls that are due, stops that hang
 
   // --- the record of a machine in the state service
   wire::HostRecord record_of(const Host& h) const;
   // The machines whose records want writing, first come first served; gangs' first.
   std::deque<std::string>& dirty_hosts() { return dirty_hosts_; }
   void mark_dirty(Host& h, bool first = false);
-  void host_stored(Host& h, const wire::HostRecord& as_written, uint64_t stamp, Needs& needs);
+  void host_stored(Host& h, const wire::HostRecord& as_written, uint64_t stamp, Effects& effects);
   bool room_in_record(const Host& h) const {
     return record_size(h) + kRecordPerJob + kRecordPerTask <= record_limit_;
   }
@@ -267,21 +269,22 @@
   Booking booking_of(Host& h, const Job& j, uint32_t index, uint64_t attempt, Instant now);
   void add_booking(Host& h, Booking b);
   // Ends booking i of h. Returns what follows from it.
-  Needs end_booking(Host& h, size_t i, Instant now, bool gang_goes_on = false);
-  Needs on_exit(Host& h, const TaskReport& r, Instant now);
-  void break_gang(const std::string& job, uint64_t attempt, Instant now, Needs& needs);
+  Effects end_booking(Host& h, size_t i, Instant now, bool gang_goes_on = false);
+  Effects on_exit(Host& h, const TaskReport& r, Instant now);
+  void break_gang(const std::string& job, uint64_t attempt, Instant now, Effects& effects);
   void stop_gang(const std::string& job, uint64_t attempt, Seconds grace, Instant now);
   void on_error(Host& h, Job* job, Instant now);
-  void strike(Host& h, Instant now);
+  void suspect(Host& h, Instant now);
   void promote_ahead(Host& h, Instant now);
   bool sendable(const Booking& b) const;
-  bool fresh(Host& h, const Beat& b) const;
-  void take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs);
-  void take_host_state(Host& h, const Beat& b, Instant now, bool complete, Needs& needs);
-  Needs end_bookings_before(Host& h, uint64_t session, Instant now);
+  bool fresh(Host& h, const WorkerReport& b) const;
+  void take_report(Host& h, const WorkerReport& b, Instant now, bool complete, Effects& effects);
+  void take_host_state(Host& h, const WorkerReport& b, Instant now, bool complete,
+                       Effects& effects);
+  Effects end_bookings_before(Host& h, uint64_t session, Instant now);
   Booking& book_orphan(Host& h, const TaskReport& task, const Job* j, Instant now);
-  bool take_task(Host& h, const TaskReport& t, Instant now, Needs& needs);
-  bool end_unlisted(Host& h, const Beat& b, Instant now, Needs& needs);
+  bool take_task(Host& h, const TaskReport& t, Instant now, Effects& effects);
+  bool end_unlisted(Host& h, const WorkerReport& b, Instant now, Effects& effects);
   void note_image(Host& h, const Job& job);
   int team_index(std::string_view name) const;
   Instant silent_until(const Host& h) const;
@@ -290,7 +293,7 @@
   const settings::Operator& op_;
   uint64_t epoch_ = 0;
   uint64_t attempts_ = 0;
-  Instant reign_since_{};
+  Instant term_since_{};
   Nanos blind_;
   Nanos lease_;
   size_t record_limit_;
--- a/src/dunlinknot/cluster/failures.cpp
+++ b/src/dunlinknot/cluster/failures.cpp
@@ -10,33 +10,33 @@
 namespace {
 
 constexpr size_t kMaxFailedOn = 32;
-constexpr uint32_t kStrikes = 3;
-constexpr size_t kFewDeaf = 2;
+constexpr uint32_t kSuspicions = 3;
+constexpr size_t kFewUnreachable = 2;
 
 }  // namespace
 
 // A report's arrival is no proof that answers get through. Runs that are sent again and again, and
 // sessions that end while we answer, tell: such a machine would swallow work for ever.
-void Cluster::strike(Host& h, Instant now) {
-  if (h.strikes == 0 || now - h.last_strike > lease_ * 2) {
-    h.strikes = 0;
-    h.first_strike = now;
+void Cluster::suspect(Host& h, Instant now) {
+  if (h.suspicions == 0 || now - h.last_suspicion > lease_ * 2) {
+    h.suspicions = 0;
+    h.first_suspicion = now;
   }
-  h.last_strike = now;
-  if (++h.strikes < kStrikes || now - h.first_strike < lease_ / 3 || h.deaf) return;
-  h.deaf = true;
+  h.last_suspicion = now;
+  if (++h.suspicions < kSuspicions || now - h.first_suspicion < lease_ / 3 || h.unreachable) return;
+  h.unreachable = true;
   spdlog::info("machine {}: its reports come, but our answers do not reach it", h.id);
 }
 
-std::vector<std::string> Cluster::deaf_hosts() const {
+std::vector<std::string> Cluster::unreachable_hosts() const {
   std::vector<std::string> out;
   size_t heard = 0;
   for (const auto& [id, h] : hosts_) {
     if (!h->heard || h->lost) continue;
     ++heard;
-    if (h->deaf) out.push_back(id);
+    if (h->unreachable) out.push_back(id);
   }
-  if (out.size() > std::max<size_t>(kFewDeaf, heard / 8)) out.clear();
+  if (out.size() > std::max<size_t>(kFewUnreachable, heard / 8)) out.clear();
   return out;
 }
 
--- a/src/dunlinknot/cluster/domain.hpp
+++ b/src/dunlinknot/cluster/leader_context.hpp
@@ -1,5 +1,5 @@
-// What the leader's parts share: the picture of the cluster behind its lock, the in-memory records
-// of preemption, and the signals by which one part wakes another.
+// What the leader's parts share: the view of the cluster behind its lock, the in-memory
+// records of preemption, and the signals by which one part wakes another.
 #pragma once
 #include "dunlinknot/cluster/cluster.hpp"
 #include "dunlinknot/preemption/nominations.hpp"
@@ -8,18 +8,18 @@
 
 namespace dunlinknot::cluster {
 
-struct Picture {
-  Picture(const settings::Platform& p, const settings::Operator& o) : cluster(p, o) {}
+struct LeaderState {
+  LeaderState(const settings::Platform& p, const settings::Operator& o) : cluster(p, o) {}
   Cluster cluster;
   preemption::Nominations nominations;
 };
 
-struct Domain {
-  Domain(Loop& l, const settings::Platform& p, const settings::Operator& o)
+struct LeaderContext {
+  LeaderContext(Loop& l, const settings::Platform& p, const settings::Operator& o)
       : loop(l),
         platform(p),
         op(o),
-        picture(p, o),
+        leader_state(p, o),
         schedule(l),
         store_hosts(l),
         store_done(l),
@@ -30,17 +30,17 @@
   Loop& loop;
   const settings::Platform& platform;
   const settings::Operator& op;
-  Shared<Picture> picture;
+  Shared<LeaderState> leader_state;
   Signal schedule, store_hosts, store_done, stops, runs, rentals;
 
-  // Each reign has a number; a part that was started for one ends with it.
-  uint64_t reign = 0;
+  // Each term has a number; a part that was started for one ends with it.
+  uint64_t term = 0;
   bool loaded = false;  // taken over: workers may be answered
   uint64_t epoch = 0;
   uint64_t epoch_stamp = 0;
-  bool in_reign(uint64_t r) const { return reign == r && epoch != 0; }
+  bool in_term(uint64_t r) const { return term == r && epoch != 0; }
 
-  void follow_up(const Needs& n) {
+  void follow_up(const Effects& n) {
     if (n.schedule) schedule.notify();
     if (n.store_hosts) store_hosts.notify();
     if (n.store_done) store_done.notify();
--- a/src/dunlinknot/cluster/ledger.hpp
+++ b/src/dunlinknot/cluster/ledger.hpp
@@ -7,7 +7,7 @@
 #include <map>
 #include <set>
 
-#include "dunlinknot/cluster/domain.hpp"
+#include "dunlinknot/cluster/leader_context.hpp"
 #include "dunlinknot/state/client.hpp"
 
 namespace dunlinknot::cluster {
@@ -20,13 +20,13 @@
     // All cancellations that stood when a read was sent at `sent` have been carried out here.
     std::function<void(Instant sent)> caught_up;
   };
-  Ledger(Domain& domain, state::Client& state, Hooks hooks);
+  Ledger(LeaderContext& context, state::Client& state, Hooks hooks);
 
-  // Reads everything a new leader needs; false when the reign ended meanwhile.
-  Task<bool> load(uint64_t reign);
-  Task<void> store_hosts(uint64_t reign);
-  Task<void> store_done(uint64_t reign);
-  Task<void> watch_jobs(uint64_t reign);
+  // Reads everything a new leader needs; false when the term ended meanwhile.
+  Task<bool> load(uint64_t term);
+  Task<void> store_hosts(uint64_t term);
+  Task<void> store_done(uint64_t term);
+  Task<void> watch_jobs(uint64_t term);
   void cancelled(const std::string& id);  // another node says so; the watch will too
   // Every change of the open jobs up to this revision has been carried out here.
   uint64_t jobs_revision() const { return jobs_revision_; }
@@ -65,28 +65,28 @@
     uint64_t revision = 0;
     Instant sent{};
   };
-  Task<bool> list_all(uint64_t reign, std::string prefix, Visit visit, Reading& reading);
-  Task<void> refresh_hosts(uint64_t reign);
-  size_t max_ops() const { return std::min<size_t>(domain_.platform.txn_ops, 16); }
+  Task<bool> list_all(uint64_t term, std::string prefix, Visit visit, Reading& reading);
+  Task<void> refresh_hosts(uint64_t term);
+  size_t max_ops() const { return std::min<size_t>(context_.platform.txn_ops, 16); }
   bool add_host(HostBatch& batch, const Cluster& cluster, Host& h) const;
   HostBatch collect_hosts(Cluster& cluster, bool trailing) const;
-  Needs take_hosts_result(Cluster& cluster, const HostBatch& batch, const state::TxnResult& r,
-                          std::vector<std::string>& recheck);
-  Task<bool> store_some_hosts(uint64_t reign, bool trailing);
-  Task<bool> delete_some_records(uint64_t reign);
+  Effects take_hosts_result(Cluster& cluster, const HostBatch& batch, const state::TxnResult& r,
+                            std::vector<std::string>& recheck);
+  Task<bool> store_some_hosts(uint64_t term, bool trailing);
+  Task<bool> delete_some_records(uint64_t term);
   ProgressBatch collect_progress(const Cluster& cluster, bool partial) const;
   void progress_stored(const ProgressBatch& batch, uint64_t revision);
-  Task<bool> reread_progress(uint64_t reign, const ProgressBatch& batch, const state::TxnResult& r);
+  Task<bool> reread_progress(uint64_t term, const ProgressBatch& batch, const state::TxnResult& r);
   void pause_partial();
-  Task<bool> store_some_done(uint64_t reign);
-  Task<void> recheck_job(uint64_t reign, std::string id);
-  Task<bool> relist_jobs(uint64_t reign);
+  Task<bool> store_some_done(uint64_t term);
+  Task<void> recheck_job(uint64_t term, std::string id);
+  Task<bool> relist_jobs(uint64_t term);
   void take_job(const state::Item& item);
-  Needs close_over(Picture& p, const std::string& id);
+  Effects close_over(LeaderState& p, const std::string& id);
   state::Guard epoch_guard() const;
-  Task<void> await_budget(uint64_t reign, double writes);
+  Task<void> await_budget(uint64_t term, double writes);
 
-  Domain& domain_;
+  LeaderContext& context_;
   state::Client& state_;
   Hooks hooks_;
   uint64_t jobs_revision_ = 0;
--- a/src/dunlinknot/cluster/ledger_hosts.cpp
+++ b/src/dunlinknot/cluster/ledger_hosts.cpp
@@ -18,25 +18,25 @@
 
 }  // namespace
 
-Task<void> Ledger::store_hosts(uint64_t reign) {
-  Instant next_trailing = domain_.loop.now() + kTrailing;
-  while (domain_.in_reign(reign)) {
-    (void)co_await domain_.store_hosts.wait_until(next_trailing);
-    const bool trailing = domain_.loop.now() >= next_trailing;
-    if (trailing) next_trailing = domain_.loop.now() + kTrailing;
-    for (bool more = true; more && domain_.in_reign(reign);)
-      more = co_await store_some_hosts(reign, trailing);
+Task<void> Ledger::store_hosts(uint64_t term) {
+  Instant next_trailing = context_.loop.now() + kTrailing;
+  while (context_.in_term(term)) {
+    (void)co_await context_.store_hosts.wait_until(next_trailing);
+    const bool trailing = context_.loop.now() >= next_trailing;
+    if (trailing) next_trailing = context_.loop.now() + kTrailing;
+    for (bool more = true; more && context_.in_term(term);)
+      more = co_await store_some_hosts(term, trailing);
     if (trailing) {
-      for (bool more = true; more && domain_.in_reign(reign);)
-        more = co_await delete_some_records(reign);
+      for (bool more = true; more && context_.in_term(term);)
+        more = co_await delete_some_records(term);
     }
   }
 }
 
 // Machines whose record may have been changed by a transaction with an unknown outcome.
-Task<void> Ledger::refresh_hosts(uint64_t reign) {
+Task<void> Ledger::refresh_hosts(uint64_t term) {
   stamps_unknown_ = false;
-  std::vector<std::string> ids = domain_.picture.with([](Picture& p) {
+  std::vector<std::string> ids = context_.leader_state.with([](LeaderState& p) {
     std::vector<std::string> out;
     for (const auto& [id, h] : p.cluster.hosts()) {
       if (!h->stamp_known) out.push_back(id);
@@ -45,31 +45,31 @@
   });
   for (const auto& id : ids) {
     state::GetResult got = co_await state_.get(wire::host_key(id), kCommitTime);
-    if (!domain_.in_reign(reign)) co_return;
+    if (!context_.in_term(term)) co_return;
     if (got.outcome != Outcome::ok) {
       stamps_unknown_ = true;
       continue;
     }
-    Needs needs;
-    domain_.picture.with([&](Picture& p) {
+    Effects effects;
+    context_.leader_state.with([&](LeaderState& p) {
       Host* h = p.cluster.host(id);
       if (!h) return;
       // What the record says is what is durable, whichever attempt wrote it.
       const auto record = got.found ? wire::read_host(got.item.value) : std::nullopt;
       p.cluster.host_stored(*h, record.value_or(wire::HostRecord{}), got.found ? got.item.stamp : 0,
-                            needs);
+                            effects);
     });
-    domain_.follow_up(needs);
+    context_.follow_up(effects);
   }
 }
 
 // The ledger keeps to what is left of the state service's budget, with a reserve for the users'
 // requests at this node: else the bookings of a large cluster crowd submissions out.
-Task<void> Ledger::await_budget(uint64_t reign, double writes) {
+Task<void> Ledger::await_budget(uint64_t term, double writes) {
   const double burst = state_.write_burst();
   const double want = std::min(writes, burst / 4) + burst * kApiReserve;
-  while (domain_.in_reign(reign) && state_.write_level() < want) {
-    co_await domain_.loop.sleep(std::max<Nanos>(state_.writes_in(want), Millis(2)));
+  while (context_.in_term(term) && state_.write_level() < want) {
+    co_await context_.loop.sleep(std::max<Nanos>(state_.writes_in(want), Millis(2)));
   }
 }
 
@@ -129,9 +129,9 @@
 
 // What the transaction's result says of the records and jobs that it was about. Adds the jobs whose
 // record was not what the leader took it for to `recheck`.
-Needs Ledger::take_hosts_result(Cluster& cluster, const HostBatch& batch, const state::TxnResult& r,
-                                std::vector<std::string>& recheck) {
-  Needs needs;
+Effects Ledger::take_hosts_result(Cluster& cluster, const HostBatch& batch,
+                                  const state::TxnResult& r, std::vector<std::string>& recheck) {
+  Effects effects;
   for (const auto& w : batch.hosts) {
     Host* h = cluster.host(w.id);
     if (!h) {
@@ -142,7 +142,7 @@
     }
     h->storing = false;
     if (r.applied) {
-      cluster.host_stored(*h, w.record, w.record.groups.empty() ? 0 : r.revision, needs);
+      cluster.host_stored(*h, w.record, w.record.groups.empty() ? 0 : r.revision, effects);
     } else if (r.outcome == Outcome::unknown || r.guard_failed(wire::host_key(w.id))) {
       h->stamp_known = false;
       stamps_unknown_ = true;
@@ -151,60 +151,61 @@
   }
   for (const auto& id : batch.jobs) {
     if (!r.guard_failed(wire::job_key(id))) continue;
-    needs |= cluster.drop_unsent(id, domain_.loop.now());
+    effects |= cluster.drop_unsent(id, context_.loop.now());
     recheck.push_back(id);
   }
-  return needs;
+  return effects;
 }
 
 // Returns whether there may be more to do at once.
-Task<bool> Ledger::store_some_hosts(uint64_t reign, bool trailing) {
+Task<bool> Ledger::store_some_hosts(uint64_t term, bool trailing) {
   if (stamps_unknown_) {
-    co_await refresh_hosts(reign);
-    if (!domain_.in_reign(reign)) co_return false;
+    co_await refresh_hosts(term);
+    if (!context_.in_term(term)) co_return false;
   }
   const size_t waiting =
-      domain_.picture.with([](Picture& p) { return p.cluster.dirty_hosts().size(); });
+      context_.leader_state.with([](LeaderState& p) { return p.cluster.dirty_hosts().size(); });
   if (waiting == 0 && !trailing) co_return false;
   // Records that only shrank are rewritten with what is left over: an entry too many costs a new
   // leader a moment, a booking that waits costs a machine.
   if (waiting == 0 && state_.write_level() < state_.write_burst() * kSlackLevel) co_return false;
-  co_await await_budget(reign, static_cast<double>(std::min(waiting, max_ops())));
-  if (!domain_.in_reign(reign)) co_return false;
-  HostBatch batch =
-      domain_.picture.with([&](Picture& p) { return collect_hosts(p.cluster, trailing); });
+  co_await await_budget(term, static_cast<double>(std::min(waiting, max_ops())));
+  if (!context_.in_term(term)) co_return false;
+  HostBatch batch = context_.leader_state.with(
+      [&](LeaderState& p) { return collect_hosts(p.cluster, trailing); });
   if (batch.hosts.empty()) co_return false;
   const state::TxnResult r = co_await state_.commit(std::move(batch.txn), kCommitTime);
-  if (!domain_.in_reign(reign)) co_return false;
+  if (!context_.in_term(term)) co_return false;
   std::vector<std::string> recheck;
-  const Needs needs = domain_.picture.with(
-      [&](Picture& p) { return take_hosts_result(p.cluster, batch, r, recheck); });
+  const Effects effects = context_.leader_state.with(
+      [&](LeaderState& p) { return take_hosts_result(p.cluster, batch, r, recheck); });
   if (r.guard_failed(wire::kEpochKey)) {
     hooks_.deposed("a transaction met a later epoch");
     co_return false;
   }
-  domain_.follow_up(needs);
-  for (auto& id : recheck) co_await recheck_job(reign, id);
-  if (r.outcome != Outcome::ok) co_await domain_.loop.sleep(kRetry);
+  context_.follow_up(effects);
+  for (auto& id : recheck) co_await recheck_job(term, id);
+  if (r.outcome != Outcome::ok) co_await context_.loop.sleep(kRetry);
   co_return true;
 }
 
-Task<bool> Ledger::delete_some_records(uint64_t reign) {
-  auto dead = domain_.picture.with([](Picture& p) { return p.cluster.take_dead_records(); });
+Task<bool> Ledger::delete_some_records(uint64_t term) {
+  auto dead =
+      context_.leader_state.with([](LeaderState& p) { return p.cluster.take_dead_records(); });
   for (auto& d : dead) garbage_.push_back(std::move(d));
   if (garbage_.empty() || state_.write_level() < state_.write_burst() * kSlackLevel)
     co_return false;
   state::Txn txn;
   txn.guards.push_back(epoch_guard());
   std::vector<std::pair<std::string, uint64_t>> batch;
-  while (!garbage_.empty() && batch.size() < std::min<size_t>(domain_.platform.txn_ops, 12)) {
+  while (!garbage_.empty() && batch.size() < std::min<size_t>(context_.platform.txn_ops, 12)) {
     batch.push_back(garbage_.front());
     garbage_.pop_front();
     txn.guards.push_back({batch.back().first, batch.back().second});
     txn.writes.push_back({batch.back().first, "", 0});
   }
   state::TxnResult r = co_await state_.commit(std::move(txn), kCommitTime);
-  if (!domain_.in_reign(reign)) co_return false;
+  if (!context_.in_term(term)) co_return false;
   if (r.guard_failed(wire::kEpochKey)) {
     hooks_.deposed("a transaction met a later epoch");
     co_return false;
@@ -217,7 +218,7 @@
     }
     // Gone already, or written by a transaction whose answer we never had.
     state::GetResult got = co_await state_.get(key, kCommitTime);
-    if (!domain_.in_reign(reign)) co_return false;
+    if (!context_.in_term(term)) co_return false;
     if (got.outcome == Outcome::ok && got.found) garbage_.emplace_back(key, got.item.stamp);
   }
   co_return false;
--- a/src/dunlinknot/cluster/ledger_progress.cpp
+++ b/src/dunlinknot/cluster/ledger_progress.cpp
@@ -16,11 +16,11 @@
 
 }  // namespace
 
-Task<void> Ledger::store_done(uint64_t reign) {
-  while (domain_.in_reign(reign)) {
-    (void)co_await domain_.store_done.wait_until(
-        std::max(next_partial_, domain_.loop.now() + std::chrono::seconds(1)));
-    for (bool more = true; more && domain_.in_reign(reign);) more = co_await store_some_done(reign);
+Task<void> Ledger::store_done(uint64_t term) {
+  while (context_.in_term(term)) {
+    (void)co_await context_.store_done.wait_until(
+        std::max(next_partial_, context_.loop.now() + std::chrono::seconds(1)));
+    for (bool more = true; more && context_.in_term(term);) more = co_await store_some_done(term);
   }
 }
 
@@ -55,30 +55,30 @@
 
 // The batch is durable.
 void Ledger::progress_stored(const ProgressBatch& batch, uint64_t revision) {
-  Needs needs;
-  domain_.picture.with([&](Picture& p) {
+  Effects effects;
+  context_.leader_state.with([&](LeaderState& p) {
     for (const auto& c : batch.chunks) {
       if (Job* j = p.cluster.job(c.job)) j->chunk_stored(c.chunk, c.bits, revision);
     }
     for (const auto& f : batch.finished) {
-      needs |= p.cluster.close_job(f.job, false, domain_.loop.now());
+      effects |= p.cluster.close_job(f.job, false, context_.loop.now());
       p.nominations.job_closed(f.job);
     }
   });
   for (const auto& f : batch.finished) hooks_.finished(f.job, f.tasks);
-  domain_.follow_up(needs);
+  context_.follow_up(effects);
 }
 
-// Unknown, or a stamp was not what we thought: reads back what stands. False when the reign ended.
-Task<bool> Ledger::reread_progress(uint64_t reign, const ProgressBatch& batch,
+// Unknown, or a stamp was not what we thought: reads back what stands. False when the term ended.
+Task<bool> Ledger::reread_progress(uint64_t term, const ProgressBatch& batch,
                                    const state::TxnResult& r) {
   for (const auto& c : batch.chunks) {
     const std::string key = wire::done_key(c.job, c.chunk);
     if (r.outcome == Outcome::ok && !r.guard_failed(key)) continue;
     state::GetResult got = co_await state_.get(key, kCommitTime);
-    if (!domain_.in_reign(reign)) co_return false;
+    if (!context_.in_term(term)) co_return false;
     if (got.outcome != Outcome::ok) continue;
-    domain_.picture.with([&](Picture& p) {
+    context_.leader_state.with([&](LeaderState& p) {
       Job* j = p.cluster.job(c.job);
       if (!j) return;
       if (!got.found) {
@@ -95,8 +95,8 @@
   for (const auto& id : batch.jobs) {
     if (r.outcome == Outcome::unknown || r.guard_failed(wire::job_key(id)) ||
         r.guard_failed(wire::final_key(id))) {
-      co_await recheck_job(reign, id);
-      if (!domain_.in_reign(reign)) co_return false;
+      co_await recheck_job(term, id);
+      if (!context_.in_term(term)) co_return false;
     }
   }
   co_return true;
@@ -108,28 +108,28 @@
   if (partial_writes_ <= 0) return;
   const double rate = state_.write_burst() * kPartialShare;
   const Seconds pause = std::max(kPartialPause, Seconds(partial_writes_ / rate));
-  next_partial_ = domain_.loop.now() + to_nanos(pause);
+  next_partial_ = context_.loop.now() + to_nanos(pause);
   partial_writes_ = 0;
 }
 
 // Returns whether there may be more to do at once.
-Task<bool> Ledger::store_some_done(uint64_t reign) {
+Task<bool> Ledger::store_some_done(uint64_t term) {
   // A job's end is told at once. How far an open job is need not be: until it is written down the
   // workers keep what they completed. On a large cluster one write a task would eat the budget.
-  const bool partial = domain_.loop.now() >= next_partial_;
-  ProgressBatch batch =
-      domain_.picture.with([&](Picture& p) { return collect_progress(p.cluster, partial); });
+  const bool partial = context_.loop.now() >= next_partial_;
+  ProgressBatch batch = context_.leader_state.with(
+      [&](LeaderState& p) { return collect_progress(p.cluster, partial); });
   if (batch.txn.writes.empty()) {
     if (partial) pause_partial();
     co_return false;
   }
   partial_writes_ += static_cast<double>(batch.chunks.size());
   if (batch.finished.empty()) {
-    co_await await_budget(reign, static_cast<double>(batch.txn.writes.size()));
+    co_await await_budget(term, static_cast<double>(batch.txn.writes.size()));
   }
-  if (!domain_.in_reign(reign)) co_return false;
+  if (!context_.in_term(term)) co_return false;
   const state::TxnResult r = co_await state_.commit(std::move(batch.txn), kCommitTime);
-  if (!domain_.in_reign(reign)) co_return false;
+  if (!context_.in_term(term)) co_return false;
   if (r.guard_failed(wire::kEpochKey)) {
     hooks_.deposed("a transaction met a later epoch");
     co_return false;
@@ -139,11 +139,11 @@
     co_return true;
   }
   if (r.outcome == Outcome::refused) {
-    co_await domain_.loop.sleep(kRetry);
+    co_await context_.loop.sleep(kRetry);
     co_return true;
   }
-  if (!co_await reread_progress(reign, batch, r)) co_return false;
-  co_await domain_.loop.sleep(kRereadPause);
+  if (!co_await reread_progress(term, batch, r)) co_return false;
+  co_await context_.loop.sleep(kRereadPause);
   co_return true;
 }
 
--- a/src/dunlinknot/cluster/records.cpp
+++ b/src/dunlinknot/cluster/records.cpp
@@ -43,7 +43,8 @@
   return kFixed + groups * kRecordPerJob + h.bookings.size() * kRecordPerTask;
 }
 
-void Cluster::host_stored(Host& h, const wire::HostRecord& written, uint64_t stamp, Needs& needs) {
+void Cluster::host_stored(Host& h, const wire::HostRecord& written, uint64_t stamp,
+                          Effects& effects) {
   h.stamp = stamp;
   h.stamp_known = true;
   h.stored.clear();
@@ -62,11 +63,11 @@
         h.stored, [&](const auto& s) { return s.second == b.attempt && s.first == b.task; });
     if (!there) {
       mark_dirty(h, b.gang);
-      needs.store_hosts = true;
+      effects.store_hosts = true;
       continue;
     }
     b.phase = Phase::durable;
-    needs.runs = true;
+    effects.runs = true;
     if (!b.gang) {
       runnable_.push_back(h.id);
       continue;
--- a/src/dunlinknot/cluster/reports.cpp
+++ b/src/dunlinknot/cluster/reports.cpp
@@ -16,55 +16,57 @@
 
 }  // namespace
 
-bool Cluster::fresh(Host& h, const Beat& b) const {
+bool Cluster::fresh(Host& h, const WorkerReport& b) const {
   if (!h.heard) return true;
   return std::pair(b.session, b.seq) > std::pair(h.session, h.seq);
 }
 
-BeatAnswer Cluster::on_beat(const Beat& b, Instant now, bool may_start, Needs& needs) {
-  BeatAnswer answer = hear(b, now, may_start, needs);
-  if (answer.kind != BeatAnswer::Kind::accept) return answer;
+ReportResponse Cluster::on_report(const WorkerReport& b, Instant now, bool may_start,
+                                  Effects& effects) {
+  ReportResponse answer = hear(b, now, may_start, effects);
+  if (answer.kind != ReportResponse::Kind::accept) return answer;
   return orders(b, now, may_start && answer.read);
 }
 
-BeatAnswer Cluster::hear(const Beat& b, Instant now, bool may_start, Needs& needs) {
-  BeatAnswer answer;
+ReportResponse Cluster::hear(const WorkerReport& b, Instant now, bool may_start, Effects& effects) {
+  ReportResponse answer;
   if (b.token > epoch_) {
-    answer.kind = BeatAnswer::Kind::superseded;
+    answer.kind = ReportResponse::Kind::superseded;
     return answer;
   }
   if (gone_.contains(b.machine)) {
     // A report that was under way while its machine was deleted.
-    answer.kind = BeatAnswer::Kind::stale;
+    answer.kind = ReportResponse::Kind::stale;
     return answer;
   }
   Host& h = learn_host(b.machine, b.type, b.zone, b.spot, now);
   if (h.lost && b.session <= h.session) {
-    answer.kind = BeatAnswer::Kind::stale;
+    answer.kind = ReportResponse::Kind::stale;
     return answer;
   }
   const std::pair at(b.session, b.seq);
-  if (h.heard && at <= std::pair(h.beat_session, h.beat_seq)) {
-    // A copy of a beat that was answered already, or of an older one: nobody waits for the answer.
-    // It frees nothing, and it is no sign of life.
-    answer.kind = BeatAnswer::Kind::stale;
+  if (h.heard && at <= std::pair(h.report_session, h.report_seq)) {
+    // A copy of a report that was answered already, or of an older one: nobody waits for the
+    // answer. It frees nothing, and it is no sign of life.
+    answer.kind = ReportResponse::Kind::stale;
     return answer;
   }
-  std::tie(h.beat_session, h.beat_seq) = at;
+  std::tie(h.report_session, h.report_seq) = at;
   if (!fresh(h, b)) {
-    // Older than a report already seen (a direct call's answer may overtake a beat): its worker may
-    // still be waiting, so its lease is renewed, but nothing is read from it and nothing started.
+    // Older than a report already seen (a direct call's answer may overtake a report): its worker
+    // may still be waiting, so its lease is renewed, but nothing is read from it and nothing
+    // started.
     return answer;
   }
   answer.read = true;
   const bool was_ours = h.ours;
-  Needs changed;
+  Effects changed;
   take_report(h, b, now, true, changed);
-  needs |= changed;
+  effects |= changed;
   if (!may_start || h.draining || h.deleting) return answer;
   promote_ahead(h, now);
   const auto planned = [](const Booking& k) { return k.phase == Phase::planned; };
-  if (!h.ours || h.deaf || h.recall_at) return answer;
+  if (!h.ours || h.unreachable || h.recall_at) return answer;
   if (find_where(h.bookings, [&](const Booking& k) { return sendable(k); })) return answer;
   const bool has_room = work_waits_ && (changed.schedule || !was_ours) && h.free().cpus > 0;
   answer.run_soon = has_room || find_where(h.bookings, planned);
@@ -77,13 +79,13 @@
   return j && (!k.gang || (j->gang_go && j->gang_attempt == k.attempt));  // safety 4
 }
 
-BeatAnswer Cluster::orders(const Beat& b, Instant now, bool may_start) {
-  BeatAnswer answer;
+ReportResponse Cluster::orders(const WorkerReport& b, Instant now, bool may_start) {
+  ReportResponse answer;
   Host* known = host(b.machine);
   if (!known || known->lost ||
-      std::pair(known->beat_session, known->beat_seq) != std::pair(b.session, b.seq)) {
+      std::pair(known->report_session, known->report_seq) != std::pair(b.session, b.seq)) {
     // Gone meanwhile, or its worker gave this answer up and reported anew.
-    answer.kind = BeatAnswer::Kind::stale;
+    answer.kind = ReportResponse::Kind::stale;
     return answer;
   }
   Host& h = *known;
@@ -119,21 +121,22 @@
   return answer;
 }
 
-Needs Cluster::on_direct_report(const Beat& b, Instant now) {
-  Needs needs;
+Effects Cluster::on_direct_report(const WorkerReport& b, Instant now) {
+  Effects effects;
   Host* h = host(b.machine);
-  if (!h || b.token > epoch_ || !fresh(*h, b) || h->lost) return needs;
-  take_report(*h, b, now, false, needs);
-  return needs;
+  if (!h || b.token > epoch_ || !fresh(*h, b) || h->lost) return effects;
+  take_report(*h, b, now, false, effects);
+  return effects;
 }
 
 // What the worker tells of itself; its tasks are read by the caller.
-void Cluster::take_host_state(Host& h, const Beat& b, Instant now, bool complete, Needs& needs) {
+void Cluster::take_host_state(Host& h, const WorkerReport& b, Instant now, bool complete,
+                              Effects& effects) {
   if (!h.heard) {
     h.idle_since = now;
-    needs.schedule = true;
+    effects.schedule = true;
   }
-  if (h.lost) needs.schedule = true;
+  if (h.lost) effects.schedule = true;
   h.heard = true;
   h.lost = false;
   h.address = b.address;
@@ -143,7 +146,7 @@
   if (b.token == epoch_) h.ours = true;
   const std::optional<Instant> recall =
       b.notice ? std::optional(now + to_nanos(*b.notice)) : std::nullopt;
-  if (recall.has_value() != h.recall_at.has_value()) needs.schedule = true;
+  if (recall.has_value() != h.recall_at.has_value()) effects.schedule = true;
   if (recall && !h.recall_at) {
     spdlog::info("machine {} is recalled in {:.1f} s", h.id, b.notice->count());
   }
@@ -151,17 +154,17 @@
 }
 
 // The worker killed all it had when its lease ran out; a `run` from before is dropped there.
-Needs Cluster::end_bookings_before(Host& h, uint64_t session, Instant now) {
-  Needs needs;
+Effects Cluster::end_bookings_before(Host& h, uint64_t session, Instant now) {
+  Effects effects;
   h.images.clear();
   for (size_t i = h.bookings.size(); i-- > 0;) {
     if (i >= h.bookings.size()) continue;
     const Booking& booking = h.bookings[i];
     const bool from_before = booking.phase == Phase::seen ||
                              (booking.phase == Phase::sent && booking.sent_session < session);
-    if (from_before) needs |= end_booking(h, i, now);
+    if (from_before) effects |= end_booking(h, i, now);
   }
-  return needs;
+  return effects;
 }
 
 // On the machine without a booking: counted from now on, and stopped unless it is welcome.
@@ -187,18 +190,18 @@
   add_booking(h, std::move(orphan));
   mark_dirty(h);
   Booking& booking = h.bookings.back();
-  if (!welcome) stop(h, booking, StopReason::stray, Seconds(0), now);
+  if (!welcome) stop(h, booking, StopReason::orphan, Seconds(0), now);
   return booking;
 }
 
 // A task that is on the machine. Returns whether that shows that a `run` of ours got there.
-bool Cluster::take_task(Host& h, const TaskReport& t, Instant now, Needs& needs) {
+bool Cluster::take_task(Host& h, const TaskReport& t, Instant now, Effects& effects) {
   Job* j = job(t.task.job);
   if (j && t.task.index >= j->spec().tasks) j = nullptr;
   Booking* booking = h.find(t.task, t.attempt);
   if (!booking) {
     booking = &book_orphan(h, t, j, now);
-    needs.store_hosts = true;
+    effects.store_hosts = true;
   }
   if (!j && !booking->stopping()) stop(h, *booking, StopReason::cancelled, Seconds(0), now);
   const bool obeyed = booking->phase == Phase::sent;
@@ -223,7 +226,7 @@
 // the report bears our token (an older leader's `run` is refused from now on) and was sent after
 // the response that carried ours (one report is in flight at a time, late responses are dropped).
 // Returns whether the response with some `run` was lost.
-bool Cluster::end_unlisted(Host& h, const Beat& b, Instant now, Needs& needs) {
+bool Cluster::end_unlisted(Host& h, const WorkerReport& b, Instant now, Effects& effects) {
   bool missed_us = false;
   for (size_t i = h.bookings.size(); i-- > 0;) {
     if (i >= h.bookings.size()) continue;
@@ -239,41 +242,42 @@
       missed_us = true;
       continue;
     }
-    needs |= end_booking(h, i, now);
+    effects |= end_booking(h, i, now);
   }
   return missed_us;
 }
 
-void Cluster::take_report(Host& h, const Beat& b, Instant now, bool complete, Needs& needs) {
+void Cluster::take_report(Host& h, const WorkerReport& b, Instant now, bool complete,
+                          Effects& effects) {
   const bool new_session = h.heard && b.session > h.session;
   // Its lease ran out although we answered it in time: either our answers do not get there, or it
   // was started anew.
   bool missed_us = complete && new_session && h.ours && now - h.last_answered < lease_ / 2;
   bool obeyed = false;
-  take_host_state(h, b, now, complete, needs);
+  take_host_state(h, b, now, complete, effects);
   if (new_session) {
-    needs.schedule = true;
-    needs |= end_bookings_before(h, b.session, now);
+    effects.schedule = true;
+    effects |= end_bookings_before(h, b.session, now);
   }
   for (const auto& t : b.tasks) {
     if (t.state == TaskState::exited) {
-      needs |= on_exit(h, t, now);
+      effects |= on_exit(h, t, now);
     } else {
-      obeyed |= take_task(h, t, now, needs);
+      obeyed |= take_task(h, t, now, effects);
     }
   }
-  if (complete) missed_us |= end_unlisted(h, b, now, needs);
+  if (complete) missed_us |= end_unlisted(h, b, now, effects);
   if (obeyed) {
-    h.strikes = 0;
-    h.deaf = false;
+    h.suspicions = 0;
+    h.unreachable = false;
   } else if (missed_us) {
-    strike(h, now);
+    suspect(h, now);
   }
-  if (!stop_hosts_.empty()) needs.stops = true;
+  if (!stop_hosts_.empty()) effects.stops = true;
 }
 
-Needs Cluster::on_exit(Host& h, const TaskReport& r, Instant now) {
-  Needs needs;
+Effects Cluster::on_exit(Host& h, const TaskReport& r, Instant now) {
+  Effects effects;
   Job* j = job(r.task.job);
   if (j && r.task.index >= j->spec().tasks) j = nullptr;
   if (r.cause == ExitCause::done && j && !j->is_done(r.task.index)) {
@@ -285,14 +289,14 @@
     }
     j->failing = false;
     j->backoff = Nanos(0);
-    needs.store_done = true;
+    effects.store_done = true;
   }
   if (r.cause == ExitCause::done) {
     h.error_streak = 0;
     h.error_jobs.clear();
   }
   Booking* k = h.find(r.task, r.attempt);
-  if (!k) return needs;
+  if (!k) return effects;
   if (r.cause == ExitCause::error) on_error(h, j, now);
   if (r.cause == ExitCause::no_room || r.cause == ExitCause::busy ||
       r.cause == ExitCause::unknown) {
@@ -300,8 +304,8 @@
     if (j) j->not_before = std::max(j->not_before, now + Millis(1000));
   }
   const bool orderly = r.cause == ExitCause::stopped && k->stopping() && k->grace > Seconds(0);
-  needs |= end_booking(h, static_cast<size_t>(k - h.bookings.data()), now, orderly);
-  return needs;
+  effects |= end_booking(h, static_cast<size_t>(k - h.bookings.data()), now, orderly);
+  return effects;
 }
 
 }  // namespace dunlinknot::cluster
--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
+using cluster::Effects;
 using cluster::Host;
-using cluster::Needs;
-using cluster::Picture;
+using cluster::LeaderState;
 using http::Outcome;
 
 constexpr auto kListEvery = std::chrono::seconds(3);
@@ -25,9 +25,10 @@
 
 }  // namespace
 
-Fleet::Fleet(cluster::Domain& domain, cloud::Client& cloud) : domain_(domain), cloud_(cloud) {}
+Fleet::Fleet(cluster::LeaderContext& context, cloud::Client& cloud)
+    : context_(context), cloud_(cloud) {}
 
-void Fleet::begin_reign() {
+void Fleet::begin_term() {
   counter_ = 0;
   rentals_.clear();
   in_flight_.clear();
@@ -51,7 +52,7 @@
 // ends.
 void Fleet::refused(const scheduler::Offer& offer, Instant now) {
   Refusal& r = refusals_[offer];
-  const Nanos first = to_nanos(domain_.op.refusal_pause);
+  const Nanos first = to_nanos(context_.op.refusal_pause);
   r.pause = r.pause == Nanos(0) ? first : std::min(r.pause * 2, first * kMostPause);
   r.until = now + r.pause;
   std::erase_if(rentals_, [&](const Rental& x) {
@@ -59,14 +60,14 @@
   });
 }
 
-void Fleet::order(const std::vector<scheduler::Wish>& wishes) {
-  for (const auto& w : wishes) {
-    if (rentals_.size() >= kMaxRentals) return;  // the next round wishes again
+void Fleet::order(const std::vector<scheduler::CapacityRequest>& capacity_requests) {
+  for (const auto& w : capacity_requests) {
+    if (rentals_.size() >= kMaxRentals) return;  // the next round capacity_requests again
     const bool asked = std::any_of(rentals_.begin(), rentals_.end(),
                                    [&](const Rental& x) { return x.offer == w.offer; });
     if (asked) continue;  // one question at a time for each offer
     Rental r;
-    r.request = "h-" + std::to_string(domain_.epoch) + "-" + std::to_string(++counter_);
+    r.request = "h-" + std::to_string(context_.epoch) + "-" + std::to_string(++counter_);
     r.offer = w.offer;
     r.count = std::min(w.count, 50u);
     r.job = w.job;
@@ -74,40 +75,40 @@
                  w.offer.spot ? "spot" : "ordinary", w.offer.type, w.offer.zone, w.job, r.request);
     rentals_.push_back(std::move(r));
   }
-  if (!rentals_.empty()) domain_.rentals.notify();
+  if (!rentals_.empty()) context_.rentals.notify();
 }
 
-Task<void> Fleet::rent(uint64_t reign, Rental r) {
+Task<void> Fleet::rent(uint64_t term, Rental r) {
   cloud::RentResult result =
       co_await cloud_.rent(r.request, r.offer.type, r.offer.zone, r.offer.spot, r.count);
-  if (!domain_.in_reign(reign)) co_return;
+  if (!context_.in_term(term)) co_return;
   in_flight_.erase(r.request);
-  const Instant now = domain_.loop.now();
+  const Instant now = context_.loop.now();
   const auto forget = [&] {
     std::erase_if(rentals_, [&](const Rental& x) { return x.request == r.request; });
   };
   if (result.outcome == Outcome::ok) {
     forget();
     spdlog::info("rented {} of {} for {}", result.machines.size(), r.count, r.request);
-    domain_.picture.with([&](Picture& p) {
+    context_.leader_state.with([&](LeaderState& p) {
       for (const auto& id : result.machines) {
         p.cluster.learn_host(id, r.offer.type, r.offer.zone, r.offer.spot, now);
       }
     });
     if (!result.machines.empty()) refusals_.erase(r.offer);
     if (result.machines.size() < r.count) refused(r.offer, now);
-    domain_.schedule.notify();
+    context_.schedule.notify();
     co_return;
   }
   if (result.no_capacity || (result.outcome == Outcome::refused && cloud_.answering())) {
-    // Certainly not carried out; the scheduler may wish for something else.
+    // Certainly not carried out; the scheduler may request_machine for something else.
     forget();
     if (result.no_capacity) {
       refused(r.offer, now);
       spdlog::info("no capacity for {} {} in {}", r.offer.spot ? "spot" : "ordinary", r.offer.type,
                    r.offer.zone);
     }
-    domain_.schedule.notify();
+    context_.schedule.notify();
     co_return;
   }
   // Trouble, or no answer: the same request again, under its own name only.
@@ -116,38 +117,38 @@
       spdlog::info("no answer to rental {}: it is repeated", r.request);
     }
   }
-  co_await domain_.loop.sleep(kRepeat);
-  if (domain_.in_reign(reign)) domain_.rentals.notify();
+  co_await context_.loop.sleep(kRepeat);
+  if (context_.in_term(term)) context_.rentals.notify();
 }
 
-Task<void> Fleet::remove(uint64_t reign, std::vector<std::string> machines) {
+Task<void> Fleet::remove(uint64_t term, std::vector<std::string> machines) {
   const Outcome r = co_await cloud_.remove(machines);
-  if (!domain_.in_reign(reign)) co_return;
+  if (!context_.in_term(term)) co_return;
   removing_ = false;
   if (r == Outcome::ok) {
     // By the time of this answer the machines and everything on them are gone.
-    Needs needs;
-    domain_.picture.with([&](Picture& p) {
+    Effects effects;
+    context_.leader_state.with([&](LeaderState& p) {
       for (const auto& id : machines) {
         if (const Host* h = p.cluster.host(id)) refusals_.erase({h->type, h->zone, h->spot});
-        needs |= p.cluster.remove_host(id, domain_.loop.now());
+        effects |= p.cluster.remove_host(id, context_.loop.now());
       }
     });
-    domain_.follow_up(needs);
+    context_.follow_up(effects);
   } else {
     for (const auto& id : machines) discards_.push_back(id);
-    co_await domain_.loop.sleep(kRepeat);
-    if (!domain_.in_reign(reign)) co_return;
+    co_await context_.loop.sleep(kRepeat);
+    if (!context_.in_term(term)) co_return;
   }
-  domain_.rentals.notify();
+  context_.rentals.notify();
 }
 
-Task<void> Fleet::work(uint64_t reign) {
-  while (domain_.in_reign(reign)) {
+Task<void> Fleet::work(uint64_t term) {
+  while (context_.in_term(term)) {
     for (const auto& r : rentals_) {
       if (in_flight_.size() >= 4) break;
       if (r.tries > 0 && !in_flight_.empty() && !cloud_.answering()) break;
-      if (in_flight_.insert(r.request).second) domain_.loop.spawn(rent(reign, r));
+      if (in_flight_.insert(r.request).second) context_.loop.spawn(rent(term, r));
     }
     if (!removing_ && !discards_.empty()) {
       std::vector<std::string> batch;
@@ -156,46 +157,47 @@
         discards_.pop_front();
       }
       removing_ = true;
-      domain_.loop.spawn(remove(reign, std::move(batch)));
+      context_.loop.spawn(remove(term, std::move(batch)));
     }
-    (void)co_await domain_.rentals.wait();
+    (void)co_await context_.rentals.wait();
   }
 }
 
-Task<void> Fleet::watch_machines(uint64_t reign) {
-  Instant next_catalog = domain_.loop.now() + kCatalogEvery;
-  while (domain_.in_reign(reign)) {
+Task<void> Fleet::watch_machines(uint64_t term) {
+  Instant next_catalog = context_.loop.now() + kCatalogEvery;
+  while (context_.in_term(term)) {
     std::string after;
     for (;;) {
       std::optional<MachineList> list = co_await cloud_.list(after);
-      if (!domain_.in_reign(reign)) co_return;
+      if (!context_.in_term(term)) co_return;
       if (!list) break;
-      take_list(list->machines, domain_.loop.now());
+      take_list(list->machines, context_.loop.now());
       if (!list->more || list->machines.empty()) break;
       after = list->machines.back().id;
     }
-    if (domain_.loop.now() >= next_catalog) {
-      next_catalog = domain_.loop.now() + kCatalogEvery;
+    if (context_.loop.now() >= next_catalog) {
+      next_catalog = context_.loop.now() + kCatalogEvery;
       auto types = co_await cloud_.catalog();
-      if (!domain_.in_reign(reign)) co_return;
+      if (!context_.in_term(term)) co_return;
       if (types) {
-        domain_.picture.with([&](Picture& p) { p.cluster.set_catalog(std::move(*types)); });
+        context_.leader_state.with(
+            [&](LeaderState& p) { p.cluster.set_catalog(std::move(*types)); });
       }
     }
-    co_await domain_.loop.sleep(kListEvery);
+    co_await context_.loop.sleep(kListEvery);
   }
 }
 
 void Fleet::take_list(const std::vector<ListedMachine>& machines, Instant now) {
   bool changed = false;
   std::vector<std::string> failed;
-  domain_.picture.with([&](Picture& p) {
+  context_.leader_state.with([&](LeaderState& p) {
     for (const auto& m : machines) {
       if (p.cluster.is_gone(m.id)) continue;  // the list lags
       const bool known = p.cluster.host(m.id) != nullptr;
       Host& h = p.cluster.learn_host(m.id, m.type, m.zone, m.spot, now);
       if (!known) {
-        // Not rented under this reign, or by a request whose answer was lost: used like any other.
+        // Not rented under this term, or by a request whose answer was lost: used like any other.
         h.known_since = now - to_nanos(m.age);
         changed = true;
         spdlog::info("machine {} ({} in {}) found in the list", m.id, m.type, m.zone);
@@ -210,11 +212,11 @@
     }
   });
   for (const auto& id : failed) discard(id, "it failed");
-  if (changed) domain_.schedule.notify();
+  if (changed) context_.schedule.notify();
 }
 
 void Fleet::discard(const std::string& id, std::string_view why) {
-  const bool go = domain_.picture.with([&](Picture& p) {
+  const bool go = context_.leader_state.with([&](LeaderState& p) {
     Host* h = p.cluster.host(id);
     if (!h || h->deleting) return false;
     h->deleting = true;
@@ -223,20 +225,20 @@
   if (!go) return;
   spdlog::info("returning machine {}: {}", id, why);
   discards_.push_back(id);
-  domain_.rentals.notify();
+  context_.rentals.notify();
 }
 
 void Fleet::sweep(std::vector<std::string> wanted, size_t waiting_tasks, Instant now) {
   std::sort(wanted.begin(), wanted.end());
   std::vector<std::pair<std::string, std::string>> out;
-  const auto& op = domain_.op;
-  const Nanos silent = to_nanos(domain_.platform.report * kReportSpread + kReportSlack);
-  domain_.picture.with([&](Picture& p) {
+  const auto& op = context_.op;
+  const Nanos silent = to_nanos(context_.platform.report * kReportSpread + kReportSlack);
+  context_.leader_state.with([&](LeaderState& p) {
     // Deleting a machine that does not hear us is the quick fence: its tasks go elsewhere at once.
-    for (const auto& id : p.cluster.deaf_hosts())
+    for (const auto& id : p.cluster.unreachable_hosts())
       out.emplace_back(id, "our answers do not reach it");
     for (const auto& [id, h] : p.cluster.hosts()) {
-      if (h->deleting || h->deaf) continue;
+      if (h->deleting || h->unreachable) continue;
       if (!h->heard) {
         // Some take several times as long; some never come up and cost until they are deleted.
         // What is booked there by a former leader ends with the deletion (the fast fence).
@@ -245,18 +247,18 @@
         // A new leader has heard nobody yet: a machine that is up, or was while somebody else led,
         // has the time a silent one has before it is given up.
         const Instant heard_by =
-            p.cluster.reign_since() + to_nanos(domain_.platform.lease + op.lost_return);
+            p.cluster.term_since() + to_nanos(context_.platform.lease + op.lost_return);
         const bool was_up = h->listed_running || !h->bookings.empty();
         const Instant up_by = h->known_since + to_nanos(t->boot * op.boot_patience + kBootSlack);
         if (now > heard_by && (was_up || now > up_by)) {
           out.emplace_back(id, was_up ? "its worker stays silent" : "it never came up");
-        } else if (!was_up && now > up_by && h->known_since > p.cluster.reign_since()) {
+        } else if (!was_up && now > up_by && h->known_since > p.cluster.term_since()) {
           out.emplace_back(id, "it never came up");
         }
         continue;
       }
       if (h->lost) {
-        if (now - h->last_heard > to_nanos(domain_.platform.lease + op.lost_return)) {
+        if (now - h->last_heard > to_nanos(context_.platform.lease + op.lost_return)) {
           out.emplace_back(id, "its worker stays silent");
         }
         continue;
--- a/src/dunlinknot/fleet/fleet.hpp
+++ b/src/dunlinknot/fleet/fleet.hpp
@@ -7,23 +7,23 @@
 #include <set>
 
 #include "dunlinknot/cloud/client.hpp"
-#include "dunlinknot/cluster/domain.hpp"
+#include "dunlinknot/cluster/leader_context.hpp"
 #include "dunlinknot/scheduler/scheduler.hpp"
 
 namespace dunlinknot::fleet {
 
 class Fleet {
  public:
-  Fleet(cluster::Domain& domain, cloud::Client& cloud);
+  Fleet(cluster::LeaderContext& context, cloud::Client& cloud);
 
-  // Forgets what was of an earlier reign.
-  void begin_reign();
-  Task<void> watch_machines(uint64_t reign);  // the list, the catalogue
-  Task<void> work(uint64_t reign);            // rentals and returns
+  // Forgets what was of an earlier term.
+  void begin_term();
+  Task<void> watch_machines(uint64_t term);  // the list, the catalogue
+  Task<void> work(uint64_t term);            // rentals and returns
 
-  // What the scheduler needs to know; and its wishes.
+  // What the scheduler needs to know; and its capacity_requests.
   scheduler::Market market(Instant now);
-  void order(const std::vector<scheduler::Wish>& wishes);
+  void order(const std::vector<scheduler::CapacityRequest>& capacity_requests);
   // Looks for machines to return; called after each round.
   void sweep(std::vector<std::string> wanted, size_t waiting_tasks, Instant now);
 
@@ -35,13 +35,13 @@
     std::string job;
     uint32_t tries = 0;
   };
-  Task<void> rent(uint64_t reign, Rental r);
-  Task<void> remove(uint64_t reign, std::vector<std::string> machines);
+  Task<void> rent(uint64_t term, Rental r);
+  Task<void> remove(uint64_t term, std::vector<std::string> machines);
   void take_list(const std::vector<ListedMachine>& machines, Instant now);
   void refused(const scheduler::Offer& offer, Instant now);
   void discard(const std::string& id, std::string_view why);
 
-  cluster::Domain& domain_;
+  cluster::LeaderContext& context_;
   cloud::Client& cloud_;
   uint64_t counter_ = 0;
   std::vector<Rental> rentals_;      // ordered and not answered
--- a/src/dunlinknot/jobs/desk.cpp
+++ b/src/dunlinknot/jobs/request_handler.cpp
@@ -1,4 +1,4 @@
-#include "dunlinknot/jobs/desk.hpp"
+#include "dunlinknot/jobs/request_handler.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -54,9 +54,9 @@
   return it == jobs_.end() ? std::pair<uint32_t, uint32_t>{0, 0} : it->second;
 }
 
-Desk::Desk(Loop& loop, state::Client& state, const settings::Platform& platform,
-           const settings::Operator& op, uint32_t seed,
-           std::function<void(const std::string&)> cancelled)
+RequestHandler::RequestHandler(Loop& loop, state::Client& state, const settings::Platform& platform,
+                               const settings::Operator& op, uint32_t seed,
+                               std::function<void(const std::string&)> cancelled)
     : loop_(loop),
       state_(state),
       platform_(platform),
@@ -66,7 +66,7 @@
       random_(seed) {}
 
 // Refused at once, with a time to come back that spreads the retries.
-Response Desk::later(int least_s) {
+Response RequestHandler::later(int least_s) {
   ++refused_;
   Response r;
   r.status = 503;
@@ -75,14 +75,14 @@
   return r;
 }
 
-Response Desk::refuse(int status, std::string_view why) const {
+Response RequestHandler::refuse(int status, std::string_view why) const {
   Response r;
   r.status = status;
   r.body = wire::write_error(why);
   return r;
 }
 
-std::string Desk::never_runs(const JobSpec& spec) const {
+std::string RequestHandler::never_runs(const JobSpec& spec) const {
   const auto team = std::find_if(platform_.teams.begin(), platform_.teams.end(),
                                  [&](const auto& t) { return t.name == spec.team; });
   if (team == platform_.teams.end()) return "unknown team";
@@ -104,14 +104,15 @@
   return "";
 }
 
-void Desk::learn_final(const std::string& id, const wire::FinalRecord& record, uint64_t revision) {
+void RequestHandler::learn_final(const std::string& id, const wire::FinalRecord& record,
+                                 uint64_t revision) {
   const bool news = finals_.put(id, record);
   if (!record.cancelled) return;
   cancel_revision_ = std::max(cancel_revision_, revision);
   if (news) cancelled_(id);
 }
 
-Task<Desk::Lookup> Desk::look_up(std::string id, Instant deadline) {
+Task<RequestHandler::Lookup> RequestHandler::look_up(std::string id, Instant deadline) {
   Lookup out;
   if (const auto* f = finals_.find(id)) {
     out.known = Known::final;
@@ -151,7 +152,7 @@
   co_return out;
 }
 
-Response Desk::standing_of(const std::string& id, const Lookup& found, bool with_counts) {
+Response RequestHandler::standing_of(const std::string& id, const Lookup& found, bool with_counts) {
   JobStanding s;
   s.id = id;
   if (found.known == Known::final) {
@@ -169,7 +170,7 @@
   return r;
 }
 
-Task<Response> Desk::submit(std::string body) {
+Task<Response> RequestHandler::submit(std::string body) {
   const auto doc = wire::Document::parse(body);
   if (!doc || !doc->root().is_map()) co_return refuse(400, "the body is not a MessagePack map");
   const auto id = wire::submitted_id(doc->root());
@@ -228,7 +229,7 @@
   co_return later();
 }
 
-Task<Response> Desk::poll(std::string id) {
+Task<Response> RequestHandler::poll(std::string id) {
   if (!wire::valid_job_id(id)) co_return refuse(404, "no such job");
   if (looking_ >= op_.max_polls) co_return later();
   const InFlight in_flight(looking_);
@@ -238,7 +239,7 @@
   co_return standing_of(id, found, true);
 }
 
-Task<Response> Desk::withdraw(std::string id) {
+Task<Response> RequestHandler::withdraw(std::string id) {
   if (!wire::valid_job_id(id)) co_return refuse(404, "no such job");
   if (looking_ >= op_.max_polls) co_return later();
   const InFlight in_flight(looking_);
--- a/src/dunlinknot/jobs/desk.hpp
+++ b/src/dunlinknot/jobs/request_handler.hpp
@@ -38,11 +38,11 @@
   std::unordered_map<std::string, std::pair<uint32_t, uint32_t>> jobs_;
 };
 
-class Desk {
+class RequestHandler {
  public:
-  Desk(Loop& loop, state::Client& state, const settings::Platform& platform,
-       const settings::Operator& op, uint32_t seed,
-       std::function<void(const std::string& id)> cancelled);
+  RequestHandler(Loop& loop, state::Client& state, const settings::Platform& platform,
+                 const settings::Operator& op, uint32_t seed,
+                 std::function<void(const std::string& id)> cancelled);
 
   Task<http::Response> submit(std::string body);
   Task<http::Response> poll(std::string id);
--- a/src/dunlinknot/leadership/elector.cpp
+++ b/src/dunlinknot/leadership/elector.cpp
@@ -73,7 +73,7 @@
     known_leader_ = std::move(leader);
   }
   // A higher epoch exists, so ours is over, whatever our own view of the state service is.
-  if (leading_ && epoch > reign_.epoch) {
+  if (leading_ && epoch > term_.epoch) {
     step_down(std::string("heard of epoch ") + std::to_string(epoch) + " from " +
               std::string(from));
   }
@@ -89,9 +89,9 @@
 void Elector::step_down(std::string_view why) {
   if (!leading_) return;
   leading_ = false;
-  if (known_leader_ == platform_.node && known_epoch_ <= reign_.epoch) known_leader_.reset();
-  spdlog::info("leadership: epoch {} ended here: {}", reign_.epoch, why);
-  hooks_.lost(reign_.epoch, why);
+  if (known_leader_ == platform_.node && known_epoch_ <= term_.epoch) known_leader_.reset();
+  spdlog::info("leadership: epoch {} ended here: {}", term_.epoch, why);
+  hooks_.lost(term_.epoch, why);
   changed_.notify();
 }
 
@@ -100,11 +100,11 @@
   tenure_ = asked;
   horizon_ = Instant{};  // until the open jobs have been read
   resigning_ = false;
-  reign_ = Reign{epoch, stamp, loop_.now()};
+  term_ = Term{epoch, stamp, loop_.now()};
   known_epoch_ = epoch;
   known_leader_ = platform_.node;
   spdlog::info("leadership: leading epoch {}", epoch);
-  hooks_.gained(reign_);
+  hooks_.gained(term_);
 }
 
 Task<void> Elector::run() {
@@ -232,16 +232,16 @@
       if (again.outcome == http::Outcome::ok) {
         state::Txn txn;
         txn.guards.push_back({std::string(wire::kLeaderKey), 0});
-        txn.guards.push_back({std::string(wire::kEpochKey), reign_.epoch_stamp});
+        txn.guards.push_back({std::string(wire::kEpochKey), term_.epoch_stamp});
         txn.writes.push_back({std::string(wire::kLeaderKey),
-                              wire::write_leader({platform_.node, reign_.epoch}), again.lease});
+                              wire::write_leader({platform_.node, term_.epoch}), again.lease});
         const Instant asked = loop_.now();
         state::TxnResult t = co_await state_.commit(txn, kCallTime, state::Importance::essential);
         if (!leading_) break;
         if (t.applied) {
           lease_ = again.lease;
           tenure_ = asked;
-          spdlog::info("leadership: epoch {} goes on under a new lease", reign_.epoch);
+          spdlog::info("leadership: epoch {} goes on under a new lease", term_.epoch);
         } else if (t.outcome == http::Outcome::ok) {
           step_down("another node took over while the state service did not serve us");
           break;
--- a/src/dunlinknot/leadership/elector.hpp
+++ b/src/dunlinknot/leadership/elector.hpp
@@ -1,5 +1,5 @@
 // Who leads. The key `leader` is bound to a short lease; taking it also bumps `epoch`, and the
-// epoch's number is the baton the workers see. Every transaction of a leader guards the stamp of
+// epoch's number is the token the workers see. Every transaction of a leader guards the stamp of
 // `epoch`, so whatever a former leader still has in flight fails.
 #pragma once
 #include <algorithm>
@@ -12,7 +12,7 @@
 
 namespace dunlinknot::leadership {
 
-struct Reign {
+struct Term {
   uint64_t epoch = 0;
   uint64_t epoch_stamp = 0;
   Instant since{};
@@ -30,7 +30,7 @@
 class Elector {
  public:
   struct Hooks {
-    std::function<void(const Reign&)> gained;
+    std::function<void(const Term&)> gained;
     std::function<void(uint64_t epoch, std::string_view why)> lost;
   };
   Elector(Loop& loop, state::Client& state, const settings::Platform& platform, Nanos ttl,
@@ -39,7 +39,7 @@
   Task<void> run();
 
   bool leading() const { return leading_; }
-  const Reign& reign() const { return reign_; }
+  const Term& term() const { return term_; }
   // The highest epoch heard of, and who leads it, if known.
   uint64_t known_epoch() const { return known_epoch_; }
   const std::optional<std::string>& known_leader() const { return known_leader_; }
@@ -76,7 +76,7 @@
   Nanos blind_;
 
   bool leading_ = false;
-  Reign reign_;
+  Term term_;
   Instant horizon_{};
   Instant tenure_{};  // the sending of the last request that proved that our lease still stood
   uint64_t lease_ = 0;
--- a/src/dunlinknot/leadership/peers.cpp
+++ b/src/dunlinknot/leadership/peers.cpp
@@ -79,11 +79,11 @@
   return false;
 }
 
-bool Peers::any_beats() const {
+bool Peers::any_reports() const {
   const Instant now = loop_.now();
   for (const auto& [name, link] : links_) {
-    if (link.last && now - link.heard_at < kFresh && link.last->beats_known &&
-        link.last->beats_silent < Millis(2000)) {
+    if (link.last && now - link.heard_at < kFresh && link.last->reports_known &&
+        link.last->reports_silent < Millis(2000)) {
       return true;
     }
   }
--- a/src/dunlinknot/leadership/peers.hpp
+++ b/src/dunlinknot/leadership/peers.hpp
@@ -39,7 +39,7 @@
   // Some peer said within the last seconds that the state service serves it.
   bool any_served() const;
   // Some peer said within the last seconds that workers reach it.
-  bool any_beats() const;
+  bool any_reports() const;
 
  private:
   struct Link {
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -6,16 +6,16 @@
 
 namespace {
 
+using cluster::Effects;
 using cluster::Host;
 using cluster::Job;
-using cluster::Needs;
-using cluster::Picture;
+using cluster::LeaderState;
 using http::Outcome;
 using http::Response;
 
 constexpr auto kTick = Millis(500);
 constexpr int kRoundRest = 3;  // times what the last round took
-constexpr auto kNoBeats = std::chrono::seconds(5);
+constexpr auto kNoReports = std::chrono::seconds(5);
 constexpr auto kStateSilent = Millis(1500);
 constexpr auto kStateIdle = Millis(700);
 constexpr auto kProbeTime = Millis(600);  // the load balancer waits 1 s
@@ -44,9 +44,9 @@
       state_(loop, transport, platform.state, platform.state_rps * kBudgetShare,
              platform.state_write_rps * kBudgetShare),
       cloud_(loop, transport, platform.cloud, platform.cloud_rps),
-      domain_(loop, platform, op),
+      context_(loop, platform, op),
       elector_(loop, state_, platform, to_nanos(op.leader_ttl),
-               {[this](const leadership::Reign& r) { gained(r); },
+               {[this](const leadership::Term& r) { gained(r); },
                 [this](uint64_t epoch, std::string_view) { lost(epoch); }}),
       peers_(loop, platform,
              {[this] { return status(); },
@@ -62,16 +62,16 @@
       jobs_(loop, state_, platform, op, seed,
             [this](const std::string& id) { told_cancelled(id); }),
       workers_(
-          domain_, elector_, [this] { return may_renew(); }, transport),
-      ledger_(domain_, state_,
+          context_, elector_, [this] { return may_renew(); }, transport),
+      ledger_(context_, state_,
               {[this](std::string_view why) {
-                 elector_.heard_of(domain_.epoch + 1, std::nullopt, why);
+                 elector_.heard_of(context_.epoch + 1, std::nullopt, why);
                },
                [this](const std::string& id, uint32_t tasks) {
                  jobs_.finals().put(id, {false, tasks});
                },
                [this](Instant sent) { elector_.saw_cancellations(sent); }}),
-      fleet_(domain_, cloud_) {}
+      fleet_(context_, cloud_) {}
 
 void Daemon::start() {
   http::ServerOptions options;
@@ -96,7 +96,7 @@
   const bool post = request.method == "POST";
   Response out;
   if (path == "/agent/beat") {
-    if (post) co_return co_await workers_.beat(std::move(request.body));
+    if (post) co_return co_await workers_.report(std::move(request.body));
     out.status = 405;
   } else if (path == "/ready") {
     out.status = 405;
@@ -149,15 +149,15 @@
   s.up = to_millis(now - began_);
   s.state_known = state_.ever_served();
   if (s.state_known) s.state_silent = to_millis(now - state_.last_served());
-  s.beats_known = workers_.ever_beaten();
-  if (s.beats_known) s.beats_silent = to_millis(now - workers_.last_beat());
+  s.reports_known = workers_.ever_reported();
+  if (s.reports_known) s.reports_silent = to_millis(now - workers_.last_report());
   s.leading = elector_.leading();
   s.cancel_revision = jobs_.cancel_revision();
   return s;
 }
 
 // Safety 2. While the state service is away for all, nobody can confirm a cancellation; that all
-// nodes, this one too, have told of none that the picture lacks stands in for a read.
+// nodes, this one too, have told of none that the cluster state lacks stands in for a read.
 bool Daemon::may_renew() const {
   if (elector_.may_renew(std::nullopt)) return true;
   const uint64_t revision = ledger_.jobs_revision();
@@ -176,14 +176,14 @@
 }
 
 void Daemon::heard_cancelled(const std::string& id) {
-  if (elector_.leading() && domain_.loaded) ledger_.cancelled(id);
+  if (elector_.leading() && context_.loaded) ledger_.cancelled(id);
 }
 
 wire::peer::Progress Daemon::progress() {
   wire::peer::Progress p;
-  if (!elector_.leading() || !domain_.loaded) return p;
-  p.epoch = domain_.epoch;
-  domain_.picture.with([&](Picture& pic) {
+  if (!elector_.leading() || !context_.loaded) return p;
+  p.epoch = context_.epoch;
+  context_.leader_state.with([&](LeaderState& pic) {
     for (const auto& [id, j] : pic.cluster.jobs()) {
       if (p.entries.size() >= wire::peer::kMaxEntries) break;
       if (j->done_count() > 0 || j->running > 0)
@@ -209,19 +209,19 @@
   }
   jobs_.set_catalog(catalog_);
   if (elector_.leading()) {
-    domain_.picture.with([&](Picture& p) {
+    context_.leader_state.with([&](LeaderState& p) {
       if (p.cluster.catalog().empty()) p.cluster.set_catalog(catalog_);
     });
-    domain_.schedule.notify();
+    context_.schedule.notify();
   }
 }
 
 // The leader writes the machine types down once, for nodes that start while the cloud is away.
-Task<void> Daemon::keep_catalog(uint64_t reign) {
-  while (domain_.in_reign(reign)) {
+Task<void> Daemon::keep_catalog(uint64_t term) {
+  while (context_.in_term(term)) {
     if (!catalog_.empty()) {
       state::Txn txn;
-      txn.guards.push_back({std::string(wire::kEpochKey), domain_.epoch_stamp});
+      txn.guards.push_back({std::string(wire::kEpochKey), context_.epoch_stamp});
       txn.guards.push_back({std::string(wire::kCatalogKey), 0});
       txn.writes.push_back({std::string(wire::kCatalogKey), wire::write_catalog(catalog_), 0});
       state::TxnResult r = co_await state_.commit(std::move(txn), std::chrono::seconds(1));
@@ -231,72 +231,72 @@
   }
 }
 
-void Daemon::gained(const leadership::Reign& reign) {
-  ++domain_.reign;
-  domain_.epoch = reign.epoch;
-  domain_.epoch_stamp = reign.epoch_stamp;
-  domain_.loaded = false;
-  domain_.picture.with([&](Picture& p) {
-    p.cluster.begin_reign(reign.epoch, loop_.now());
+void Daemon::gained(const leadership::Term& term) {
+  ++context_.term;
+  context_.epoch = term.epoch;
+  context_.epoch_stamp = term.epoch_stamp;
+  context_.loaded = false;
+  context_.leader_state.with([&](LeaderState& p) {
+    p.cluster.begin_term(term.epoch, loop_.now());
     p.cluster.set_catalog(catalog_);
     p.nominations.clear();
   });
-  fleet_.begin_reign();
-  loop_.spawn(take_over(domain_.reign));
+  fleet_.begin_term();
+  loop_.spawn(take_over(context_.term));
 }
 
 void Daemon::lost(uint64_t) {
-  domain_.epoch = 0;
-  domain_.loaded = false;
-  ++domain_.reign;
-  // Whoever waits for a signal wakes up, sees that its reign is over and ends.
-  for (Signal* s : {&domain_.schedule, &domain_.store_hosts, &domain_.store_done, &domain_.stops,
-                    &domain_.runs, &domain_.rentals}) {
+  context_.epoch = 0;
+  context_.loaded = false;
+  ++context_.term;
+  // Whoever waits for a signal wakes up, sees that its term is over and ends.
+  for (Signal* s : {&context_.schedule, &context_.store_hosts, &context_.store_done,
+                    &context_.stops, &context_.runs, &context_.rentals}) {
     s->notify();
   }
 }
 
-Task<void> Daemon::take_over(uint64_t reign) {
+Task<void> Daemon::take_over(uint64_t term) {
   const Instant started = loop_.now();
-  if (!co_await ledger_.load(reign)) co_return;
-  domain_.loaded = true;
-  const auto [jobs, hosts, bookings] = domain_.picture.with([](Picture& p) {
+  if (!co_await ledger_.load(term)) co_return;
+  context_.loaded = true;
+  const auto [jobs, hosts, bookings] = context_.leader_state.with([](LeaderState& p) {
     return std::tuple(p.cluster.jobs().size(), p.cluster.hosts().size(), p.cluster.booking_count());
   });
   spdlog::info(
       "take-over of epoch {} done in {} ms: {} open jobs, {} machines with bookings, {} bookings",
-      domain_.epoch, to_millis(loop_.now() - started).count(), jobs, hosts, bookings);
-  loop_.spawn(ledger_.watch_jobs(reign));
-  loop_.spawn(ledger_.store_hosts(reign));
-  loop_.spawn(ledger_.store_done(reign));
-  loop_.spawn(workers_.call_stops(reign));
-  loop_.spawn(workers_.release_beats(reign));
-  loop_.spawn(fleet_.work(reign));
-  loop_.spawn(fleet_.watch_machines(reign));
-  loop_.spawn(rounds(reign));
-  loop_.spawn(keep_catalog(reign));
+      context_.epoch, to_millis(loop_.now() - started).count(), jobs, hosts, bookings);
+  loop_.spawn(ledger_.watch_jobs(term));
+  loop_.spawn(ledger_.store_hosts(term));
+  loop_.spawn(ledger_.store_done(term));
+  loop_.spawn(workers_.call_stops(term));
+  loop_.spawn(workers_.release_responses(term));
+  loop_.spawn(fleet_.work(term));
+  loop_.spawn(fleet_.watch_machines(term));
+  loop_.spawn(rounds(term));
+  loop_.spawn(keep_catalog(term));
 }
 
-Task<void> Daemon::rounds(uint64_t reign) {
+Task<void> Daemon::rounds(uint64_t term) {
   Instant began = loop_.now();
   Instant next_tick = began;
-  while (domain_.in_reign(reign)) {
-    (void)co_await domain_.schedule.wait_until(next_tick);
-    if (!domain_.in_reign(reign)) co_return;
+  while (context_.in_term(term)) {
+    (void)co_await context_.schedule.wait_until(next_tick);
+    if (!context_.in_term(term)) co_return;
     const Instant now = loop_.now();
     if (now >= next_tick) {
       next_tick = now + kTick;
-      Needs needs = domain_.picture.with([&](Picture& p) {
-        Needs n = p.cluster.expire(now);
+      Effects effects = context_.leader_state.with([&](LeaderState& p) {
+        Effects n = p.cluster.expire(now);
         n |= p.cluster.tick(now);
         return n;
       });
-      domain_.follow_up(needs);
+      context_.follow_up(effects);
       // Cut off from the workers while they reach our peers: another node can serve them. That they
       // leave a leader that may not renew their leases is another matter.
       if (!may_renew()) began = now;
-      const Instant heard = std::max(workers_.last_own_beat(), began);
-      if (now - heard > kNoBeats && peers_.any_beats()) {
+      const Instant heard = std::max(workers_.last_own_report(), began);
+      if (now - heard > kNoReports && peers_.any_reports()) {
         elector_.resign("no worker reaches this node, but they reach others");
         co_return;
       }
@@ -311,7 +311,7 @@
 }
 
 void Daemon::one_round(Instant now) {
-  const scheduler::Plan plan = domain_.picture.with([&](Picture& p) {
+  const scheduler::Plan plan = context_.leader_state.with([&](LeaderState& p) {
     p.nominations.settle(p.cluster);
     scheduler::Market market = fleet_.market(now);
     market.machines = p.cluster.hosts().size();
@@ -319,7 +319,7 @@
   });
   apply(plan, now);
   log_waiting(plan, now);
-  fleet_.order(plan.wishes);
+  fleet_.order(plan.capacity_requests);
   fleet_.sweep(plan.wanted, plan.waiting_tasks, now);
 }
 
@@ -327,7 +327,7 @@
 void Daemon::log_waiting(const scheduler::Plan& plan, Instant now) {
   if (!spdlog::should_log(spdlog::level::debug) || now < next_waiting_log_) return;
   next_waiting_log_ = now + kWaitingLogEvery;
-  domain_.picture.with([&](Picture& p) {
+  context_.leader_state.with([&](LeaderState& p) {
     for (const auto& [id, cause] : plan.waiting_jobs) {
       const Job* j = p.cluster.job(id);
       if (!j) continue;
@@ -341,8 +341,8 @@
 
 void Daemon::apply(const scheduler::Plan& plan, Instant now) {
   bool booked = false;
-  Needs needs;
-  domain_.picture.with([&](Picture& p) {
+  Effects effects;
+  context_.leader_state.with([&](LeaderState& p) {
     for (const uint64_t id : plan.cleared) p.nominations.end(id, preemption::End::cleared);
     for (const auto& x : plan.placements) {
       for (const uint64_t id : x.ends_nominations) p.nominations.end(id, preemption::End::placed);
@@ -389,7 +389,7 @@
       Host* h = p.cluster.host(e.host);
       std::string names;
       for (const auto& v : e.victims) {
-        needs |= p.cluster.preempt(*h, v.task, v.attempt, now);
+        effects |= p.cluster.preempt(*h, v.task, v.attempt, now);
         names += " " + v.task.text();
       }
       p.nominations.add(e.job, e.host, e.room, e.priority, e.victims);
@@ -398,14 +398,14 @@
                    e.room.cpus, e.room.gpus, e.room.memory_gb, names);
     }
   });
-  if (booked) domain_.store_hosts.notify();
-  domain_.follow_up(needs);
+  if (booked) context_.store_hosts.notify();
+  context_.follow_up(effects);
 }
 
 void Daemon::report_cluster() {
   size_t up = 0, machines = 0, fetching = 0, running = 0, other = 0, ahead = 0, waiting = 0;
   Resources size, used;
-  domain_.picture.with([&](Picture& p) {
+  context_.leader_state.with([&](LeaderState& p) {
     for (const auto& [id, h] : p.cluster.hosts()) {
       ++machines;
       if (!h->heard || h->lost) continue;
@@ -466,7 +466,7 @@
         "{} evictions; {} connections open",
         a - accepted, r - refused, t - throttled, w - away, e - evictions,
         server_ ? server_->connections() : 0);
-    if (elector_.leading() && domain_.loaded) report_cluster();
+    if (elector_.leading() && context_.loaded) report_cluster();
     accepted = a, refused = r, throttled = t, away = w, evictions = e;
   }
 }
--- a/src/dunlinknot/node/daemon.hpp
+++ b/src/dunlinknot/node/daemon.hpp
@@ -6,10 +6,10 @@
 #include "dunlinknot/cluster/ledger.hpp"
 #include "dunlinknot/fleet/fleet.hpp"
 #include "dunlinknot/http/server.hpp"
-#include "dunlinknot/jobs/desk.hpp"
+#include "dunlinknot/jobs/request_handler.hpp"
 #include "dunlinknot/leadership/elector.hpp"
 #include "dunlinknot/leadership/peers.hpp"
-#include "dunlinknot/workers/desk.hpp"
+#include "dunlinknot/workers/report_handler.hpp"
 
 namespace dunlinknot::node {
 
@@ -27,21 +27,21 @@
 
   Task<http::Response> handle(http::Request request);
   const leadership::Elector& elector() const { return elector_; }
-  cluster::Domain& domain() { return domain_; }
+  cluster::LeaderContext& context() { return context_; }
   leadership::Peers& peers() { return peers_; }
   wire::peer::Status status() const;
   void heard_cancelled(const std::string& id);  // a peer told its user so
 
  private:
-  void gained(const leadership::Reign& reign);
+  void gained(const leadership::Term& term);
   void lost(uint64_t epoch);
-  Task<void> take_over(uint64_t reign);
-  Task<void> rounds(uint64_t reign);
+  Task<void> take_over(uint64_t term);
+  Task<void> rounds(uint64_t term);
   void one_round(Instant now);
   void log_waiting(const scheduler::Plan& plan, Instant now);
   void apply(const scheduler::Plan& plan, Instant now);
   Task<void> learn_catalog();
-  Task<void> keep_catalog(uint64_t reign);
+  Task<void> keep_catalog(uint64_t term);
   Task<void> report_counts();
   void report_cluster();
   Task<bool> ready();
@@ -55,11 +55,11 @@
   Instant began_;
   state::Client state_;
   cloud::Client cloud_;
-  cluster::Domain domain_;
+  cluster::LeaderContext context_;
   leadership::Elector elector_;
   leadership::Peers peers_;
-  jobs::Desk jobs_;
-  workers::Desk workers_;
+  jobs::RequestHandler jobs_;
+  workers::ReportHandler workers_;
   cluster::Ledger ledger_;
   fleet::Fleet fleet_;
   std::vector<MachineType> catalog_;
--- a/src/dunlinknot/scheduler/renting.cpp
+++ b/src/dunlinknot/scheduler/renting.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-constexpr uint32_t kMostWishes = 50;  // machines for one job in one round
+constexpr uint32_t kMostRequested = 50;  // machines for one job in one round
 
 }  // namespace
 
@@ -30,12 +30,12 @@
   return out;
 }
 
-Slot& Round::wish(const Offer& offer, const std::string& job) {
-  ++wished_;
-  const auto w = std::find_if(plan_.wishes.begin(), plan_.wishes.end(),
-                              [&](const Wish& x) { return x.offer == offer; });
-  if (w == plan_.wishes.end()) {
-    plan_.wishes.push_back({offer, 1, job});
+Slot& Round::request_machine(const Offer& offer, const std::string& job) {
+  ++requested_;
+  const auto w = std::find_if(plan_.capacity_requests.begin(), plan_.capacity_requests.end(),
+                              [&](const CapacityRequest& x) { return x.offer == offer; });
+  if (w == plan_.capacity_requests.end()) {
+    plan_.capacity_requests.push_back({offer, 1, job});
   } else {
     ++w->count;
   }
@@ -53,10 +53,10 @@
   const double times = turns(w, *d.type, d.type->boot.count());
   const double per_machine = d.slots * times;
   uint32_t machines = static_cast<uint32_t>(std::ceil(open / per_machine));
-  machines = std::clamp(machines, 1u, kMostWishes);
+  machines = std::clamp(machines, 1u, kMostRequested);
   uint32_t places = static_cast<uint32_t>(std::ceil(open / times));
   for (uint32_t i = 0; i < machines && !fleet_full(); ++i) {
-    Slot& s = wish(d.offer, spec.id);
+    Slot& s = request_machine(d.offer, spec.id);
     const uint32_t n = s.room.count(spec.need, spec.priority, places);
     s.room.take(spec.need * n);
     places -= n;
@@ -93,7 +93,8 @@
     lowest = cost;
   }
   if (!best) return false;
-  for (uint32_t i = 0; i < machines && !fleet_full(); ++i) (void)wish(best->offer, spec.id);
+  for (uint32_t i = 0; i < machines && !fleet_full(); ++i)
+    (void)request_machine(best->offer, spec.id);
   (void)place_gang(*w.job, true, lend);
   return true;
 }
--- a/src/dunlinknot/scheduler/round.cpp
+++ b/src/dunlinknot/scheduler/round.cpp
@@ -78,10 +78,10 @@
   if (!h.heard || h.lost || h.draining || h.deleting || h.listed_failed || h.recall_at) {
     return false;
   }
-  // Only a report with our baton proves that the machine is alive under us: one without may be a
+  // Only a report with our token proves that the machine is alive under us: one without may be a
   // late copy, of a machine that was deleted long ago even. And only a machine that hears our
   // answers can be given anything.
-  if (!h.ours || h.deaf) return false;
+  if (!h.ours || h.unreachable) return false;
   return heard_of_late(h);
 }
 
--- a/src/dunlinknot/scheduler/round.hpp
+++ b/src/dunlinknot/scheduler/round.hpp
@@ -99,7 +99,7 @@
 
   bool heard_of_late(const Host& h) const;
 
-  // Not up yet, or just up and about to bear our baton: counted on, so that nothing is rented in
+  // Not up yet, or just up and about to bear our token: counted on, so that nothing is rented in
   // its place for that moment.
   bool expected_up(const Host& h) const;
 
@@ -245,9 +245,9 @@
 
   std::vector<Deal> deals(const JobSpec& spec) const;
 
-  bool fleet_full() const { return market_.machines + wished_ >= op_.max_machines; }
+  bool fleet_full() const { return market_.machines + requested_ >= op_.max_machines; }
 
-  Slot& wish(const Offer& offer, const std::string& job);
+  Slot& request_machine(const Offer& offer, const std::string& job);
 
   // Rents for what is left of an array; returns how many tasks that provides for.
   uint32_t rent_array(const Waiting& w, uint32_t open);
@@ -296,7 +296,7 @@
   std::set<const Job*> overdue_placed_;  // before the queue's turn
   double ahead_span_ = 0;                // seconds of work that may wait on a machine
   std::map<int, uint32_t> limited_ahead_;
-  size_t wished_ = 0;
+  size_t requested_ = 0;
   bool accelerators_wanted_ = false;  // some task that needs them waits
   Plan plan_;
 };
--- a/src/dunlinknot/scheduler/scheduler.hpp
+++ b/src/dunlinknot/scheduler/scheduler.hpp
@@ -48,7 +48,7 @@
   std::vector<std::pair<std::string, uint32_t>> on;
 };
 
-struct Wish {
+struct CapacityRequest {
   Offer offer;
   uint32_t count = 0;
   std::string job;  // that it is for, first of all
@@ -86,7 +86,7 @@
   std::vector<Ahead> ahead;
   std::map<std::string, Resources> held;  // by machine: room that ahead tasks must leave
   std::vector<Resources> saved;           // by team: of its limit, for gangs
-  std::vector<Wish> wishes;
+  std::vector<CapacityRequest> capacity_requests;
   std::vector<Eviction> evictions;
   std::vector<uint64_t> cleared;    // nominations that came to nothing
   std::vector<std::string> wanted;  // idle machines that waiting work will use: not to be returned
--- a/src/dunlinknot/wire/messages.cpp
+++ b/src/dunlinknot/wire/messages.cpp
@@ -218,11 +218,11 @@
   return w.take();
 }
 
-std::optional<Beat> read_beat(std::string_view body) {
+std::optional<WorkerReport> read_report(std::string_view body) {
   const auto doc = Document::parse(body);
   if (!doc) return std::nullopt;
   const View r = doc->root();
-  Beat b;
+  WorkerReport b;
   const auto name = [&](const char* field, std::string& into) {
     const auto t = r[field].text();
     if (!t || !plain_text(*t, 150)) return false;
@@ -270,7 +270,7 @@
   return b;
 }
 
-std::string write_beat(const Beat& b) {
+std::string write_report(const WorkerReport& b) {
   Writer w;
   w.map(10).key("host").text(b.machine).key("address").text(b.address).key("rig").text(b.type);
   w.key("yard").text(b.zone).key("loaners").flag(b.spot).key("shift").count(b.session);
--- a/src/dunlinknot/wire/messages.hpp
+++ b/src/dunlinknot/wire/messages.hpp
@@ -94,7 +94,7 @@
   bool saved = false;
 };
 
-struct Beat {
+struct WorkerReport {
   std::string machine;
   std::string address;
   std::string type;
@@ -152,8 +152,8 @@
 std::string write_standing(const JobStanding& s, bool with_counts);
 std::string write_error(std::string_view text);
 
-std::optional<Beat> read_beat(std::string_view body);
-std::string write_beat(const Beat& b);  // for scripted workers
+std::optional<WorkerReport> read_report(std::string_view body);
+std::string write_report(const WorkerReport& b);  // for scripted workers
 std::string write_orders(uint64_t token, std::optional<uint64_t> session,
                          const std::vector<Command>& commands);
 std::string write_misdirected(const std::optional<std::string>& leader);
--- a/src/dunlinknot/wire/peer.hpp
+++ b/src/dunlinknot/wire/peer.hpp
@@ -4,7 +4,7 @@
 //   frame  = magic u32 | version u16 | kind u16 | length u32 | body[length]
 //   status = seq u64 | echo u64 | epoch u64 | cancel_revision u64 | state_silent_ms u32 | up_ms u32
 //   |
-//            beats_silent_ms u32 | flags u32 | node char[32] | leader char[32]
+//            reports_silent_ms u32 | flags u32 | node char[32] | leader char[32]
 //   progress = epoch u64 | count u32 | reserved u32 | count * entry
 //   entry  = id char[24] | done u32 | running u32
 //   cancelled = id char[24]
@@ -39,12 +39,12 @@
   uint64_t epoch = 0;  // the highest leadership it knows of
   // The latest revision of a cancellation that it has read or written since its process began.
   uint64_t cancel_revision = 0;
-  Millis state_silent{0};  // since the state service last served it
-  Millis up{0};            // since its process began
-  Millis beats_silent{0};  // since a worker last reached it
+  Millis state_silent{0};    // since the state service last served it
+  Millis up{0};              // since its process began
+  Millis reports_silent{0};  // since a worker last reached it
   bool leading = false;
   bool state_known = false;  // the state service has served it since it began
-  bool beats_known = false;
+  bool reports_known = false;
   std::string node;
   std::string leader;  // the node leading `epoch`, if known
 };
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -1,4 +1,4 @@
-// The leader's picture of the cluster: when a booking begins and, above all, when it ends.
+// The leader's view of the cluster: when a booking begins and, above all, when it ends.
 #include "dunlinknot/cluster/cluster.hpp"
 
 #include <gtest/gtest.h>
@@ -19,7 +19,7 @@
     box.size = {8, 0, 32};
     box.cache_gb = 50;
     box.zones = {"a", "b"};
-    c.begin_reign(5, now);
+    c.begin_term(5, now);
     c.set_catalog({box});
   }
 
@@ -28,8 +28,8 @@
     c.load_job({std::move(spec), WallTime(Millis(1))}, 10, now);
     return *c.job(id);
   }
-  Beat beat(const std::string& vm = "vm-1") {
-    Beat b;
+  WorkerReport report(const std::string& vm = "vm-1") {
+    WorkerReport b;
     b.machine = vm;
     b.address = "10.0.0.1:9000";
     b.type = "box";
@@ -39,9 +39,9 @@
     b.token = token;
     return b;
   }
-  std::vector<Command> send(const Beat& b, bool may_start = true) {
-    needs = Needs{};
-    return c.on_beat(b, now, may_start, needs).commands;
+  std::vector<Command> send(const WorkerReport& b, bool may_start = true) {
+    effects = Effects{};
+    return c.on_report(b, now, may_start, effects).commands;
   }
   TaskReport on(const Booking& b, TaskState s = TaskState::running,
                 ExitCause cause = ExitCause::none) {
@@ -51,7 +51,7 @@
   Booking& durable(Job& j, const std::string& vm = "vm-1") {
     Host& h = *c.host(vm);
     c.book(h, j, *j.take_pending(), c.next_attempt(), now);
-    Needs n;
+    Effects n;
     c.host_stored(h, c.record_of(h), ++stamp, n);
     return h.bookings.back();
   }
@@ -62,55 +62,55 @@
   Cluster c{platform, op};
   Instant now{seconds(100)};
   uint64_t session = 1, seq = 0, token = 5, stamp = 20;
-  Needs needs;
+  Effects effects;
 };
 
 TEST_F(ClusterTest, ARunGoesOutOnlyOnceItsBookingIsDurable) {
   Job& j = add(job("run-000001", 2));
-  send(beat());
+  send(report());
   Host& h = *c.host("vm-1");
   c.book(h, j, *j.take_pending(), c.next_attempt(), now);
-  EXPECT_TRUE(send(beat()).empty());
-  Needs n;
+  EXPECT_TRUE(send(report()).empty());
+  Effects n;
   c.host_stored(h, c.record_of(h), 21, n);
-  EXPECT_TRUE(send(beat(), false).empty()) << "without the state service nothing starts";
-  const auto orders = send(beat());
+  EXPECT_TRUE(send(report(), false).empty()) << "without the state service nothing starts";
+  const auto orders = send(report());
   ASSERT_EQ(orders.size(), 1u);
   EXPECT_EQ(orders[0].op, Command::Op::start);
 }
 
-TEST_F(ClusterTest, AnAnswerWaitsOnlyWhereARunMayComeAndNeverOutlivesItsBeat) {
+TEST_F(ClusterTest, AnAnswerWaitsOnlyWhereARunMayComeAndNeverOutlivesItsReport) {
   // A `run` travels only in answers, and on a large cluster the next one is seconds away.
   Job& j = add(job("run-000001", 8));
-  Beat first = beat();
+  WorkerReport first = report();
   first.token = 4;
-  EXPECT_FALSE(c.hear(first, now, true, needs).run_soon) << "does not bear our baton";
-  EXPECT_FALSE(c.hear(beat(), now, true, needs).run_soon) << "nothing waits for a place";
+  EXPECT_FALSE(c.hear(first, now, true, effects).run_soon) << "does not bear our baton";
+  EXPECT_FALSE(c.hear(report(), now, true, effects).run_soon) << "nothing waits for a place";
   c.set_work_waits(true);
-  EXPECT_FALSE(c.hear(beat(), now, true, needs).run_soon) << "nothing changed there";
+  EXPECT_FALSE(c.hear(report(), now, true, effects).run_soon) << "nothing changed there";
   Host& h = *c.host("vm-1");
   c.book(h, j, *j.take_pending(), c.next_attempt(), now);
-  const Beat waiting = beat();
-  EXPECT_TRUE(c.hear(waiting, now, true, needs).run_soon) << "its booking is being written";
-  Needs n;
+  const WorkerReport waiting = report();
+  EXPECT_TRUE(c.hear(waiting, now, true, effects).run_soon) << "its booking is being written";
+  Effects n;
   c.host_stored(h, c.record_of(h), 21, n);
   EXPECT_TRUE(n.runs);
   EXPECT_EQ(c.take_runnable(), std::vector<std::string>{"vm-1"});
-  const Beat newer = beat();  // its worker gave the answer up
-  EXPECT_FALSE(c.hear(newer, now, true, needs).run_soon) << "the run goes at once";
-  EXPECT_EQ(c.orders(waiting, now, true).kind, BeatAnswer::Kind::stale);
+  const WorkerReport newer = report();  // its worker gave the answer up
+  EXPECT_FALSE(c.hear(newer, now, true, effects).run_soon) << "the run goes at once";
+  EXPECT_EQ(c.orders(waiting, now, true).kind, ReportResponse::Kind::stale);
   EXPECT_TRUE(c.orders(newer, now, false).commands.empty()) << "the state service went meanwhile";
   ASSERT_EQ(c.orders(newer, now, true).commands.size(), 1u);
   c.remove_host("vm-1", now);
-  EXPECT_EQ(c.orders(newer, now, true).kind, BeatAnswer::Kind::stale) << "deleted meanwhile";
+  EXPECT_EQ(c.orders(newer, now, true).kind, ReportResponse::Kind::stale) << "deleted meanwhile";
 }
 
 TEST_F(ClusterTest, ALostResponseIsSaidAgainAndTheBookingStays) {
   Job& j = add(job("run-000001"));
-  send(beat());
+  send(report());
   durable(j);
-  ASSERT_EQ(send(beat()).size(), 1u);
-  const auto again = send(beat());  // newer, and without the task: the response was dropped
+  ASSERT_EQ(send(report()).size(), 1u);
+  const auto again = send(report());  // newer, and without the task: the response was dropped
   ASSERT_EQ(again.size(), 1u);
   EXPECT_EQ(again[0].op, Command::Op::start);
   EXPECT_EQ(booked(), 1u);
@@ -118,17 +118,17 @@
 
 TEST_F(ClusterTest, ALateReportChangesNothing) {
   Job& j = add(job("run-000001"));
-  send(beat());
-  const Beat late = beat();
+  send(report());
+  const WorkerReport late = report();
   const Booking& b = durable(j);
-  Beat with = beat();
+  WorkerReport with = report();
   send(with);
-  Beat running = beat();
+  WorkerReport running = report();
   running.tasks = {on(b)};
   send(running);
   EXPECT_TRUE(send(late).empty());
   EXPECT_EQ(booked(), 1u);
-  Beat old_session = late;
+  WorkerReport old_session = late;
   old_session.session = 0;
   old_session.seq = 1000;
   EXPECT_TRUE(send(old_session).empty());
@@ -137,17 +137,17 @@
 
 TEST_F(ClusterTest, ATaskThatVanishesEndsItsBookingOnlyUnderOurBaton) {
   Job& j = add(job("run-000001"));
-  send(beat());
+  send(report());
   const Booking& b = durable(j);
-  send(beat());
-  Beat running = beat();
+  send(report());
+  WorkerReport running = report();
   running.tasks = {on(b)};
   send(running);
-  token = 4;  // an older leader's baton: its commands may still count there
-  send(beat());
+  token = 4;  // an older leader's token: its commands may still count there
+  send(report());
   EXPECT_EQ(booked(), 1u);
   token = 5;
-  send(beat());
+  send(report());
   EXPECT_EQ(booked(), 0u);
   EXPECT_EQ(j.pending(), 1u);
 }
@@ -160,19 +160,19 @@
   EXPECT_EQ(c.usage(0).used.cpus, 2);
   EXPECT_EQ(j.pending(), 1u) << "task 0 may run there and may not be started elsewhere";
   token = 4;
-  send(beat());
+  send(report());
   EXPECT_EQ(booked(), 1u) << "the former leader's `run` may still arrive";
   token = 5;
-  send(beat());
+  send(report());
   EXPECT_EQ(booked(), 0u);
   EXPECT_EQ(j.pending(), 2u);
 }
 
 TEST_F(ClusterTest, ASilentWorkerIsTimedOutFromWhatWeAnsweredLast) {
   Job& j = add(job("run-000001"));
-  send(beat());
+  send(report());
   durable(j);
-  send(beat());
+  send(report());
   const Instant answered = now;
   now = answered + seconds(14);
   c.expire(now);
@@ -182,10 +182,10 @@
   EXPECT_EQ(booked(), 0u);
   EXPECT_TRUE(c.host("vm-1")->lost);
   // A report of the old session that was held up on its way brings nothing back.
-  EXPECT_EQ(c.on_beat(beat(), now, true, needs).kind, BeatAnswer::Kind::stale);
+  EXPECT_EQ(c.on_report(report(), now, true, effects).kind, ReportResponse::Kind::stale);
   session = 2;
   seq = 0;
-  EXPECT_EQ(c.on_beat(beat(), now, true, needs).kind, BeatAnswer::Kind::accept);
+  EXPECT_EQ(c.on_report(report(), now, true, effects).kind, ReportResponse::Kind::accept);
 }
 
 TEST_F(ClusterTest, ANewLeaderWaitsForTheBlindWindowOfTheOldOne) {
@@ -204,37 +204,37 @@
 
 TEST_F(ClusterTest, DeletingAMachineEndsWhatWasOnItAndItsLateReportsAreNotBelieved) {
   Job& j = add(job("run-000001"));
-  send(beat());
+  send(report());
   durable(j);
   c.remove_host("vm-1", now);
   EXPECT_EQ(j.pending(), 1u);
   EXPECT_EQ(c.usage(0).used.cpus, 0);
-  EXPECT_EQ(c.on_beat(beat(), now, true, needs).kind, BeatAnswer::Kind::stale);
+  EXPECT_EQ(c.on_report(report(), now, true, effects).kind, ReportResponse::Kind::stale);
   EXPECT_EQ(c.host("vm-1"), nullptr);
   EXPECT_EQ(c.take_dead_records().size(), 1u);
 }
 
 TEST_F(ClusterTest, ANewSessionEndsWhatWasSentInTheOldOne) {
   Job& j = add(job("run-000001", 2));
-  send(beat());
+  send(report());
   durable(j);
-  send(beat());
+  send(report());
   session = 2;
   seq = 0;
-  EXPECT_TRUE(send(beat()).empty());
+  EXPECT_TRUE(send(report()).empty());
   EXPECT_EQ(booked(), 0u);
   EXPECT_EQ(j.pending(), 2u);
 }
 
 TEST_F(ClusterTest, ADoneTaskIsForgottenOnlyWhenItsCompletionIsDurable) {
   Job& j = add(job("run-000001", 2));
-  send(beat());
+  send(report());
   const Booking b = durable(j);
-  send(beat());
-  Beat ended = beat();
+  send(report());
+  WorkerReport ended = report();
   ended.tasks = {on(b, TaskState::exited, ExitCause::done)};
   EXPECT_TRUE(send(ended).empty());
-  EXPECT_TRUE(needs.store_done);
+  EXPECT_TRUE(effects.store_done);
   EXPECT_EQ(j.done_count(), 1u);
   j.chunk_stored(0, j.done_bits(), 30);
   ended.seq = ++seq;
@@ -245,10 +245,10 @@
 
 TEST_F(ClusterTest, ACancelledJobIsStoppedEverywhereAndStaysBookedUntilGone) {
   Job& j = add(job("run-000001", 3));
-  send(beat());
+  send(report());
   const Booking running = durable(j);
-  send(beat());
-  Beat b = beat();
+  send(report());
+  WorkerReport b = report();
   b.tasks = {on(running)};
   send(b);
   durable(j);  // its run has not gone out
@@ -262,13 +262,13 @@
   const auto orders = send(b);
   ASSERT_EQ(orders.size(), 1u);
   EXPECT_EQ(orders[0].op, Command::Op::stop);
-  send(beat());
+  send(report());
   EXPECT_EQ(booked(), 0u);
   EXPECT_EQ(c.usage(0).used.cpus, 0);
 }
 
 TEST_F(ClusterTest, AReturningMachineWithTasksOfAClosedJobIsToldToStopThem) {
-  Beat b = beat();
+  WorkerReport b = report();
   b.tasks = {{{"run-000009", 0}, 3, TaskState::running, ExitCause::none, false}};
   const auto orders = send(b);
   ASSERT_EQ(orders.size(), 1u);
@@ -281,20 +281,20 @@
   JobSpec g = job("run-000001", 2);
   g.gang = true;
   Job& j = add(g);
-  send(beat("vm-1"));
-  send(beat("vm-2"));
+  send(report("vm-1"));
+  send(report("vm-2"));
   const uint64_t attempt = c.next_attempt();
   Host& h1 = *c.host("vm-1");
   Host& h2 = *c.host("vm-2");
   c.book(h1, j, *j.take_pending(), attempt, now);
   c.book(h2, j, *j.take_pending(), attempt, now);
-  Needs n;
+  Effects n;
   c.host_stored(h1, c.record_of(h1), 21, n);
-  EXPECT_TRUE(send(beat("vm-1")).empty()) << "the other booking does not stand yet";
+  EXPECT_TRUE(send(report("vm-1")).empty()) << "the other booking does not stand yet";
   c.host_stored(h2, c.record_of(h2), 22, n);
-  EXPECT_EQ(send(beat("vm-1")).size(), 1u);
-  EXPECT_EQ(send(beat("vm-2")).size(), 1u);
-  Beat b1 = beat("vm-1");
+  EXPECT_EQ(send(report("vm-1")).size(), 1u);
+  EXPECT_EQ(send(report("vm-2")).size(), 1u);
+  WorkerReport b1 = report("vm-1");
   b1.tasks = {on(h1.bookings[0], TaskState::waiting)};
   send(b1);
   // One machine goes: the rest is stopped at once, and nothing starts before all of it is gone.
@@ -303,7 +303,7 @@
   const auto calls = c.take_stop_calls();
   ASSERT_EQ(calls.size(), 1u);
   EXPECT_EQ(calls[0].host, "vm-1");
-  send(beat("vm-1"));
+  send(report("vm-1"));
   EXPECT_FALSE(j.any_live());
   EXPECT_EQ(j.pending(), 2u);
 }
@@ -313,10 +313,10 @@
   for (int i = 1; i <= 3; ++i) {
     const std::string vm = "vm-" + std::to_string(i);
     for (int k = 0; k < 3; ++k) {
-      send(beat(vm));
+      send(report(vm));
       const Booking b = durable(j, vm);
-      send(beat(vm));
-      Beat ended = beat(vm);
+      send(report(vm));
+      WorkerReport ended = report(vm);
       ended.tasks = {on(b, TaskState::exited, ExitCause::error)};
       send(ended);
     }
@@ -328,17 +328,17 @@
 
 TEST_F(ClusterTest, AMachineFailingWhatOthersCompleteIsDrained) {
   Job& j = add(job("run-000001", 10));
-  send(beat("vm-2"));
+  send(report("vm-2"));
   const Booking fine = durable(j, "vm-2");
-  send(beat("vm-2"));
-  Beat ok = beat("vm-2");
+  send(report("vm-2"));
+  WorkerReport ok = report("vm-2");
   ok.tasks = {on(fine, TaskState::exited, ExitCause::done)};
   send(ok);
   for (int k = 0; k < 3; ++k) {
-    send(beat());
+    send(report());
     const Booking b = durable(j);
-    send(beat());
-    Beat ended = beat();
+    send(report());
+    WorkerReport ended = report();
     ended.tasks = {on(b, TaskState::exited, ExitCause::error)};
     send(ended);
   }
@@ -348,28 +348,28 @@
 
 TEST_F(ClusterTest, WhatWasNotSentToAMachineThatWillNotGetItGoesElsewhere) {
   // Found on days of our own: a job waited for good beside free machines, for a booking that was
-  // durable, and unsent, when its machine was drained. So with one that is deaf, or silent.
+  // durable, and unsent, when its machine was drained. So with one that is unreachable, or silent.
   for (const int why : {0, 1, 2, 3}) {
     const std::string vm = "vm-" + std::to_string(why + 1);
     Job& j = add(job("run-00000" + std::to_string(why + 1), 2));
-    send(beat(vm));
+    send(report(vm));
     durable(j, vm);
     Host& h = *c.host(vm);
     c.book(h, j, *j.take_pending(), c.next_attempt(), now);  // not even written down
     if (why == 0) h.draining = true;
-    if (why == 1) h.deaf = true;
+    if (why == 1) h.unreachable = true;
     if (why == 2) h.deleting = true;
     if (why == 3) now += seconds(5);
-    const Needs n = c.tick(now);
+    const Effects n = c.tick(now);
     EXPECT_TRUE(n.schedule);
     EXPECT_EQ(booked(vm), 0u) << why;
     EXPECT_EQ(j.pending(), 2u) << why;
   }
 }
 
-TEST_F(ClusterTest, AHigherBatonInABeatSupersedesUs) {
+TEST_F(ClusterTest, AHigherTokenInAReportSupersedesUs) {
   token = 6;
-  EXPECT_EQ(c.on_beat(beat(), now, true, needs).kind, BeatAnswer::Kind::superseded);
+  EXPECT_EQ(c.on_report(report(), now, true, effects).kind, ReportResponse::Kind::superseded);
 }
 
 TEST_F(ClusterTest, ACheckpointingTaskIsSavedBeforeARecall) {
@@ -377,10 +377,10 @@
   s.checkpoint = Seconds(10);
   s.save = Seconds(3);
   Job& j = add(s);
-  send(beat());
+  send(report());
   const Booking b = durable(j);
-  send(beat());
-  Beat r = beat();
+  send(report());
+  WorkerReport r = report();
   r.tasks = {on(b)};
   r.notice = Seconds(12);
   send(r);
@@ -401,12 +401,12 @@
   Job& j = add(g);
   const uint64_t attempt = c.next_attempt();
   for (const char* vm : {"vm-1", "vm-2"}) {
-    send(beat(vm));
+    send(report(vm));
     Booking& b = c.book(*c.host(vm), j, *j.take_pending(), attempt, now);
     b.phase = Phase::seen;
     b.state = TaskState::running;
   }
-  Beat r = beat("vm-1");
+  WorkerReport r = report("vm-1");
   r.tasks = {on(c.host("vm-1")->bookings[0])};
   r.notice = Seconds(6);
   send(r);
@@ -428,7 +428,7 @@
   JobSpec s = job("run-000001", 10'000);
   s.need = {0.001, 0, 0.001};
   Job& j = add(s);
-  send(beat());
+  send(report());
   Host& h = *c.host("vm-1");
   size_t n = 0;
   while (c.room_in_record(h) && n < 10'000) {
@@ -444,7 +444,7 @@
 TEST_F(ClusterTest, AnAheadTaskStartsWithTheReportThatTellsOfTheRoom) {
   // Found on the grown deployment: one write a task used the state service's budget up.
   Job& j = add(job("run-000001", 2));
-  send(beat());
+  send(report());
   Host& h = *c.host("vm-1");
   j.stamp = 10;
   JobSpec big = job("run-000002", 1);
@@ -453,18 +453,18 @@
   const Booking first = durable(whole);
   c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), {0, 1}, now);
   c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), {0, 0}, now);
-  Needs n;
+  Effects n;
   c.host_stored(h, c.record_of(h), ++stamp, n);
   EXPECT_EQ(h.used.cpus, 8) << "what waits takes no room";
   EXPECT_EQ(c.usage(0).used.cpus, 8);
   EXPECT_EQ(j.pending(), 0u);
-  ASSERT_EQ(send(beat()).size(), 1u) << "the machine is full";
-  Beat b = beat();
+  ASSERT_EQ(send(report()).size(), 1u) << "the machine is full";
+  WorkerReport b = report();
   b.tasks = {on(first)};
   EXPECT_TRUE(send(b).empty());
   // The room is there; some of it is promised to a preemptor.
   c.set_held({{"vm-1", {5, 0, 4}}}, {});
-  b = beat();
+  b = report();
   b.tasks = {on(first, TaskState::exited, ExitCause::done)};
   const auto orders = send(b);
   ASSERT_EQ(orders.size(), 1u);
@@ -477,8 +477,8 @@
 TEST_F(ClusterTest, AMachineThatGoesLeavesNothingHeldBehind) {
   // The next round clears what the last one held: not on a machine that is gone (address
   // sanitizer).
-  send(beat());
-  send(beat("vm-2"));
+  send(report());
+  send(report("vm-2"));
   c.set_held({{"vm-1", {5, 0, 4}}, {"vm-2", {1, 0, 1}}}, {});
   c.remove_host("vm-1", now);
   c.set_held({}, {});
@@ -490,14 +490,14 @@
   JobSpec s = job("run-000001", 3);
   s.team = "tiny";  // at most 4 cpus
   Job& j = add(s);
-  send(beat());
+  send(report());
   Host& h = *c.host("vm-1");
   for (int i = 0; i < 3; ++i) {
     c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), {}, now);
   }
-  Needs n;
+  Effects n;
   c.host_stored(h, c.record_of(h), ++stamp, n);
-  EXPECT_EQ(send(beat()).size(), 2u);
+  EXPECT_EQ(send(report()).size(), 2u);
   // Saved up for a gang of the team: nothing more of it is given away.
   c.set_held({}, {Resources{}, Resources{}, Resources{4, 0, 0}});
   EXPECT_EQ(j.ahead, 1u);
@@ -505,7 +505,7 @@
 
 TEST_F(ClusterTest, AnAheadTaskLeavesAMachineThatNothingIsHeardOf) {
   Job& j = add(job("run-000001", 2));
-  send(beat());
+  send(report());
   Host& h = *c.host("vm-1");
   c.book_ahead(h, j, *j.take_pending(), c.next_attempt(), {}, now);
   EXPECT_EQ(j.pending(), 1u);
@@ -518,42 +518,42 @@
   EXPECT_TRUE(h.bookings.empty());
 }
 
-TEST_F(ClusterTest, ACopyOfAnAnsweredBeatIsNoSignOfLife) {
+TEST_F(ClusterTest, ACopyOfAnAnsweredReportIsNoSignOfLife) {
   // Copies of reports may come seconds or more than a lease late. One kept a dead machine's
   // bookings, because whatever was answered counted as a renewal.
   Job& j = add(job("run-000001"));
-  send(beat());
+  send(report());
   const Booking& b = durable(j);
-  const Beat answered = beat();
+  const WorkerReport answered = report();
   send(answered);
-  Beat running = beat();
+  WorkerReport running = report();
   running.tasks = {on(b)};
   send(running);
   for (int i = 0; i < 20; ++i) {
     now += seconds(1);
-    EXPECT_EQ(c.on_beat(i % 2 ? answered : running, now, true, needs).kind,
-              BeatAnswer::Kind::stale);
+    EXPECT_EQ(c.on_report(i % 2 ? answered : running, now, true, effects).kind,
+              ReportResponse::Kind::stale);
     c.expire(now);
   }
   EXPECT_TRUE(c.host("vm-1")->lost);
   EXPECT_EQ(booked(), 0u);
   // And it stays lost, however many copies come.
-  EXPECT_EQ(c.on_beat(running, now, true, needs).kind, BeatAnswer::Kind::stale);
+  EXPECT_EQ(c.on_report(running, now, true, effects).kind, ReportResponse::Kind::stale);
   EXPECT_TRUE(c.host("vm-1")->lost);
 }
 
 TEST_F(ClusterTest, AMachineThatOurAnswersDoNotReachIsFoundOut) {
   // Its reports come, so it never falls silent; whatever it is given is lost.
   Job& j = add(job("run-000001"));
-  send(beat());
-  send(beat("vm-2"));
+  send(report());
+  send(report("vm-2"));
   durable(j);
   for (int i = 0; i < 8; ++i) {
-    EXPECT_TRUE(c.deaf_hosts().empty() || i > 2);
-    send(beat());
+    EXPECT_TRUE(c.unreachable_hosts().empty() || i > 2);
+    send(report());
     now += Millis(1500);
   }
-  EXPECT_EQ(c.deaf_hosts(), std::vector<std::string>{"vm-1"});
+  EXPECT_EQ(c.unreachable_hosts(), std::vector<std::string>{"vm-1"});
   EXPECT_EQ(booked(), 1u) << "its booking ends safely only with the machine";
   c.tick(now);
   EXPECT_EQ(booked(), 1u);
@@ -563,17 +563,17 @@
 
 TEST_F(ClusterTest, AMachineThatObeysLateIsNotTakenForDeaf) {
   Job& j = add(job("run-000001"));
-  send(beat());
+  send(report());
   const Booking& b = durable(j);
   for (int i = 0; i < 2; ++i) {
-    send(beat());
+    send(report());
     now += seconds(5);
   }
-  Beat running = beat();
+  WorkerReport running = report();
   running.tasks = {on(b)};
   send(running);
-  EXPECT_EQ(c.host("vm-1")->strikes, 0u);
-  EXPECT_TRUE(c.deaf_hosts().empty());
+  EXPECT_EQ(c.host("vm-1")->suspicions, 0u);
+  EXPECT_TRUE(c.unreachable_hosts().empty());
 }
 
 TEST_F(ClusterTest, WhenManySeemDeafItIsOurAnswersThatAreLate) {
@@ -582,29 +582,29 @@
   Job& j = add(s);
   for (int m = 0; m < 12; ++m) {
     const std::string vm = "vm-" + std::to_string(m);
-    send(beat(vm));
+    send(report(vm));
     durable(j, vm);
   }
   for (int i = 0; i < 10; ++i) {
-    for (int m = 0; m < 12; ++m) send(beat("vm-" + std::to_string(m)));
+    for (int m = 0; m < 12; ++m) send(report("vm-" + std::to_string(m)));
     now += Millis(1500);
   }
-  EXPECT_TRUE(c.host("vm-3")->deaf);
-  EXPECT_TRUE(c.deaf_hosts().empty());
+  EXPECT_TRUE(c.host("vm-3")->unreachable);
+  EXPECT_TRUE(c.unreachable_hosts().empty());
 }
 
 TEST_F(ClusterTest, AMachineBackWithinAFractionOfASecondHasANewSessionAndNoTasks) {
   Job& j = add(job("run-000001"));
-  send(beat());
+  send(report());
   const Booking& b = durable(j);
-  send(beat());
-  Beat running = beat();
+  send(report());
+  WorkerReport running = report();
   running.tasks = {on(b)};
   send(running);
   now += Millis(300);
   ++session;
   seq = 0;
-  send(beat());
+  send(report());
   EXPECT_EQ(booked(), 0u);
   EXPECT_EQ(j.pending(), 1u);
   EXPECT_TRUE(send(running).empty()) << "a copy from its former life";
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -182,14 +182,14 @@
   w.mute = true;
   w.refuse_direct = true;
   s.run_for(Millis(1600));
-  const Beat held = w.report();
-  const Beat newer = w.report();
-  auto& d = s.daemon(l).domain();
-  d.picture.with(
-      [&](cluster::Picture& p) { (void)p.cluster.on_direct_report(newer, s.clock.now()); });
+  const WorkerReport held = w.report();
+  const WorkerReport newer = w.report();
+  auto& d = s.daemon(l).context();
+  d.leader_state.with(
+      [&](cluster::LeaderState& p) { (void)p.cluster.on_direct_report(newer, s.clock.now()); });
   ASSERT_EQ(s.cancel(long_job.id, other).status, 200);
   s.run_for(Millis(200));
-  const http::Response r = s.ask(l, "POST", "/agent/beat", wire::write_beat(held));
+  const http::Response r = s.ask(l, "POST", "/agent/beat", wire::write_report(held));
   ASSERT_EQ(r.status, 200);
   EXPECT_NE(r.body.find("stop"), std::string::npos);
 }
@@ -248,8 +248,8 @@
   size_t back = 0;
   for (int k = 0; k < 100; ++k) {
     s.run_for(Millis(20));
-    s.daemon(0).domain().picture.with(
-        [&](cluster::Picture& p) { back += p.cluster.job("run-000001") ? 1 : 0; });
+    s.daemon(0).context().leader_state.with(
+        [&](cluster::LeaderState& p) { back += p.cluster.job("run-000001") ? 1 : 0; });
   }
   EXPECT_EQ(back, 0u);
   s.run_for(seconds(10));
@@ -464,7 +464,7 @@
     for (int k = 0; k < 30; ++k) {
       for (auto& [id, w] : s.workers) {
         if (w->on && !w->hung && chance(0.3)) {
-          s.loop.spawn(copy_later(wire::write_beat(w->report())));
+          s.loop.spawn(copy_later(wire::write_report(w->report())));
         }
       }
       co_await s.loop.sleep(in(0.3, 1));
@@ -480,7 +480,7 @@
       if (w->on && chance(0.4)) some.push_back(w.get());
     }
     const Flags hung = {&Worker::hung}, mute = {&Worker::mute}, cut_off = {&Worker::cut};
-    const Flags deaf = {&Worker::drop_responses, &Worker::refuse_direct};
+    const Flags unreachable = {&Worker::drop_responses, &Worker::refuse_direct};
     const size_t kind = pick(13);
     log += " " + std::to_string(kind) + "@" +
            std::to_string(to_seconds(s.loop.now().time_since_epoch()).count() - 1000);
@@ -512,7 +512,7 @@
         co_await set_for_a_while(some, hung);
         break;
       case 8:  // they hear no answers and no commands
-        co_await set_for_a_while(some, deaf);
+        co_await set_for_a_while(some, unreachable);
         break;
       case 9:
         co_await set_for_a_while(some, mute);
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -9,9 +9,9 @@
 
 using cluster::Booking;
 using cluster::Cluster;
+using cluster::Effects;
 using cluster::Host;
 using cluster::Job;
-using cluster::Needs;
 using cluster::Phase;
 using std::chrono::seconds;
 using test::job;
@@ -22,14 +22,14 @@
     box.name = "box";
     box.size = {8, 0, 32};
     box.zones = {"a"};
-    c.begin_reign(1, now);
+    c.begin_term(1, now);
     c.set_catalog({box});
     machine("vm-1");
     // Nothing can be rented.
     market.refused = {{"box", "a", false}, {"box", "a", true}};
   }
   Host& machine(const std::string& id) {
-    Beat b;
+    WorkerReport b;
     b.machine = id;
     b.address = "10.0.0.1:9000";
     b.type = "box";
@@ -37,8 +37,8 @@
     b.session = 1;
     b.seq = ++seq;
     b.token = 1;
-    Needs needs;
-    c.on_beat(b, now, false, needs);
+    Effects effects;
+    c.on_report(b, now, false, effects);
     return *c.host(id);
   }
   Job& add(const std::string& id, Priority p, double cpus, uint32_t tasks = 1,
@@ -75,7 +75,7 @@
   }
   // The worker's report drops what was stopped.
   void victims_gone(Host& h) {
-    Beat b;
+    WorkerReport b;
     b.machine = h.id;
     b.address = h.address;
     b.type = "box";
@@ -86,8 +86,8 @@
     for (const Booking& k : h.bookings) {
       if (!k.stopping()) b.tasks.push_back({k.task, k.attempt, TaskState::running, {}, false});
     }
-    Needs needs;
-    c.on_beat(b, now, false, needs);
+    Effects effects;
+    c.on_report(b, now, false, effects);
     n.settle(c);
   }
 
@@ -106,7 +106,7 @@
   add("run-000002", Priority::high, 4);
   market.refused.clear();
   EXPECT_TRUE(plan().evictions.empty());
-  EXPECT_FALSE(plan().wishes.empty());
+  EXPECT_FALSE(plan().capacity_requests.empty());
   market.refused = {{"box", "a", false}, {"box", "a", true}};
   const auto p = plan();
   ASSERT_EQ(p.evictions.size(), 1u);
@@ -293,8 +293,8 @@
   Host& h = *c.host("vm-1");
   Job& low = add("run-000001", Priority::low, 8);
   const Booking b = c.book(h, low, *low.take_pending(), c.next_attempt(), now);
-  const auto needs = c.preempt(h, b.task, b.attempt, now);
-  EXPECT_TRUE(needs.schedule);
+  const auto effects = c.preempt(h, b.task, b.attempt, now);
+  EXPECT_TRUE(effects.schedule);
   EXPECT_TRUE(h.bookings.empty());
   EXPECT_EQ(low.pending(), 1u);
 }
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -149,20 +149,20 @@
   };
   s.run_for(seconds(2));
   ASSERT_TRUE(s.leader());
-  EXPECT_EQ(s.daemon(0).elector().reign().epoch, 1u) << "won once, not twice";
+  EXPECT_EQ(s.daemon(0).elector().term().epoch, 1u) << "won once, not twice";
 }
 
 TEST(Leadership, ARestartWithinAFractionOfASecondLeadsOnUnderANewEpoch) {
   Site s(3);
   s.run_for(seconds(2));
   const size_t first = *s.leader();
-  const uint64_t epoch = s.daemon(first).elector().reign().epoch;
+  const uint64_t epoch = s.daemon(first).elector().term().epoch;
   s.submit(job("run-000001", 8), first);
   s.run_for(seconds(6));
   s.restart(first);
   s.run_for(seconds(2));
   ASSERT_TRUE(s.leader());
-  EXPECT_GT(s.daemon(*s.leader()).elector().reign().epoch, epoch);
+  EXPECT_GT(s.daemon(*s.leader()).elector().term().epoch, epoch);
   s.run_for(seconds(40));
   EXPECT_EQ(s.standing("run-000001", *s.leader()), "done");
   expect_rules(s);
@@ -345,7 +345,7 @@
   s.cloud.lose_rental_replies = false;
   s.run_for(seconds(60));
   EXPECT_EQ(s.standing("run-000001"), "done");
-  EXPECT_LE(s.cloud.machines.size(), 2u) << "no machine was rented twice for one wish";
+  EXPECT_LE(s.cloud.machines.size(), 2u) << "no machine was rented twice for one request_machine";
 }
 
 TEST(Machines, ACancelledJobsTasksAreGoneWithinTheTimeEvenBehindACutLeader) {
@@ -381,9 +381,9 @@
   JobSpec big = job("run-000001", 100'000);
   ASSERT_EQ(s.submit(big).status, 201);
   s.run_for(seconds(1));
-  auto& d = s.daemon(0).domain();
+  auto& d = s.daemon(0).context();
   // All but one task are done, over all chunks.
-  d.picture.with([&](cluster::Picture& p) {
+  d.leader_state.with([&](cluster::LeaderState& p) {
     for (uint32_t i = 0; i + 1 < 100'000; ++i) p.cluster.job("run-000001")->mark_done(i);
   });
   d.store_done.notify();
@@ -393,11 +393,11 @@
   EXPECT_LE(s.state.max_writes, 16u);
   s.restart(0);
   s.run_for(seconds(6));
-  s.daemon(0).domain().picture.with([&](cluster::Picture& p) {
+  s.daemon(0).context().leader_state.with([&](cluster::LeaderState& p) {
     ASSERT_EQ(p.cluster.job("run-000001")->done_count(), 99'999u);
     p.cluster.job("run-000001")->mark_done(99'999);
   });
-  s.daemon(0).domain().store_done.notify();
+  s.daemon(0).context().store_done.notify();
   s.run_for(seconds(12));
   EXPECT_EQ(s.standing("run-000001"), "done");
   for (const auto& [key, e] : s.state.data) EXPECT_FALSE(key.starts_with("done/")) << key;
@@ -578,7 +578,7 @@
   s.run_for(seconds(12));
   ASSERT_FALSE(s.workers.empty());
   auto& w = *s.workers.begin()->second;
-  const std::string copy = wire::write_beat(w.report());
+  const std::string copy = wire::write_report(w.report());
   s.run_for(seconds(60));  // idle: returned
   ASSERT_FALSE(w.on);
   const auto send = [&](size_t node) { return s.ask(node, "POST", "/agent/beat", copy).status; };
@@ -601,7 +601,7 @@
   Site s(3);
   s.run_for(seconds(2));
   const size_t first = *s.leader();
-  const uint64_t epoch = s.daemon(first).elector().reign().epoch;
+  const uint64_t epoch = s.daemon(first).elector().term().epoch;
   s.submit(job("run-000001", 8), first);
   s.run_for(seconds(6));
   s.state.late_by = Millis(700);
@@ -618,7 +618,7 @@
   size_t leaders = 0;
   for (size_t i = 0; i < 3; ++i) leaders += s.daemon(i).elector().leading() ? 1 : 0;
   EXPECT_EQ(leaders, 1u);
-  EXPECT_GT(s.daemon(*s.leader()).elector().reign().epoch, epoch);
+  EXPECT_GT(s.daemon(*s.leader()).elector().term().epoch, epoch);
   s.run_for(seconds(60));
   EXPECT_EQ(s.standing("run-000001", *s.leader()), "done");
   expect_rules(s);
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -10,9 +10,9 @@
 
 using cluster::Booking;
 using cluster::Cluster;
+using cluster::Effects;
 using cluster::Host;
 using cluster::Job;
-using cluster::Needs;
 using cluster::Phase;
 using std::chrono::seconds;
 using test::job;
@@ -31,7 +31,7 @@
     rig.size = {8, 2, 32};
     rig.price = 5;
     rig.spot_price = 2;
-    c.begin_reign(1, now);
+    c.begin_term(1, now);
     c.set_catalog({box, rig});
     none_to_rent();
   }
@@ -44,7 +44,7 @@
   }
   Host& machine(const std::string& id, const std::string& zone = "a",
                 const std::string& type = "box", bool spot = false) {
-    Beat b;
+    WorkerReport b;
     b.machine = id;
     b.address = "10.0.0.1:9000";
     b.type = type;
@@ -53,8 +53,8 @@
     b.session = 1;
     b.seq = ++seq;
     b.token = 1;
-    Needs needs;
-    c.on_beat(b, now, false, needs);
+    Effects effects;
+    c.on_report(b, now, false, effects);
     return *c.host(id);
   }
   Job& add(JobSpec s) {
@@ -273,19 +273,19 @@
   // Its first report bears none: for the moment until the next, another was rented in its place.
   market.refused.erase({"box", "a", false});
   add(job("run-000001", 2));
-  EXPECT_EQ(plan().wishes.size(), 1u);
-  Beat b;
+  EXPECT_EQ(plan().capacity_requests.size(), 1u);
+  WorkerReport b;
   b.machine = "vm-1";
   b.type = "box";
   b.zone = "a";
   b.session = b.seq = 1;
-  Needs needs;
-  c.on_beat(b, now, true, needs);
+  Effects effects;
+  c.on_report(b, now, true, effects);
   const Plan p = plan();
-  EXPECT_TRUE(p.wishes.empty());
+  EXPECT_TRUE(p.capacity_requests.empty());
   EXPECT_TRUE(p.placements.empty()) << "nothing is given to it yet";
   now += seconds(10);
-  EXPECT_EQ(plan().wishes.size(), 1u)
+  EXPECT_EQ(plan().capacity_requests.size(), 1u)
       << "a late copy of a machine that is gone keeps nobody waiting";
 }
 
@@ -299,7 +299,7 @@
   add(q);
   EXPECT_EQ(c.expected().at("quick").arrivals.size(), 1u);
   EXPECT_EQ(c.expected().at("quick").within, Seconds(10));
-  c.begin_reign(2, now);
+  c.begin_term(2, now);
   add(q);
   EXPECT_EQ(c.expected().at("quick").arrivals.size(), 1u);
 }
@@ -329,12 +329,13 @@
   market.refused.clear();
   add(job("run-000001", 4));
   auto p = plan();
-  ASSERT_EQ(p.wishes.size(), 1u);
-  EXPECT_EQ(p.wishes[0].offer, (Offer{"box", "a", false})) << "its job takes no spot machines";
+  ASSERT_EQ(p.capacity_requests.size(), 1u);
+  EXPECT_EQ(p.capacity_requests[0].offer, (Offer{"box", "a", false}))
+      << "its job takes no spot machines";
   market.refused.insert({"box", "a", false});
-  EXPECT_EQ(plan().wishes[0].offer, (Offer{"box", "b", false}));
+  EXPECT_EQ(plan().capacity_requests[0].offer, (Offer{"box", "b", false}));
   market.pending = {{{"box", "b", false}, 1}};
-  EXPECT_TRUE(plan().wishes.empty()) << "what is asked for counts as coming";
+  EXPECT_TRUE(plan().capacity_requests.empty()) << "what is asked for counts as coming";
 }
 
 TEST_F(SchedulerTest, NoOrderLetsAJobWaitForEver) {
@@ -446,8 +447,8 @@
   market.refused.erase({"box", "a", false});
   Plan p = plan();
   EXPECT_TRUE(p.gangs.empty());
-  ASSERT_FALSE(p.wishes.empty());
-  EXPECT_EQ(p.wishes[0].offer.type, "box");
+  ASSERT_FALSE(p.capacity_requests.empty());
+  EXPECT_EQ(p.capacity_requests[0].offer.type, "box");
   none_to_rent();
   EXPECT_EQ(plan().gangs.size(), 1u) << "nothing else is to be had";
 }
@@ -473,7 +474,7 @@
 TEST_F(SchedulerTest, AReportWithoutOurBatonMayBeALateCopy) {
   // After a take-over nothing is known of a machine's last report, nor of what was deleted: a copy
   // of an old report must not bring a machine back to life.
-  Beat b;
+  WorkerReport b;
   b.machine = "vm-1";
   b.address = "10.0.0.1:9000";
   b.type = "box";
@@ -481,13 +482,13 @@
   b.session = 1;
   b.seq = 7;
   b.token = 0;
-  Needs needs;
-  c.on_beat(b, now, true, needs);
+  Effects effects;
+  c.on_report(b, now, true, effects);
   add(job("run-000001"));
   EXPECT_TRUE(plan().placements.empty());
   b.seq = 8;
   b.token = 1;
-  c.on_beat(b, now, true, needs);
+  c.on_report(b, now, true, effects);
   EXPECT_EQ(plan().placements.size(), 1u);
 }
 
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -370,9 +370,9 @@
       lease_(lease),
       answered_sent_(loop.now()) {}
 
-Beat Worker::report() {
+WorkerReport Worker::report() {
   advance();
-  Beat b;
+  WorkerReport b;
   b.machine = id;
   b.address = address;
   b.type = type_.name;
@@ -485,7 +485,7 @@
     http::Request r;
     r.method = "POST";
     r.target = "/agent/beat";
-    r.body = wire::write_beat(report());
+    r.body = wire::write_report(report());
     http::Response answer = co_await handler(std::move(r));
     co_await loop_.sleep(Millis(1));
     if (!on) co_return;
@@ -493,9 +493,9 @@
     const bool in_time = loop_.now() - sent <= seconds(4) && !hung;
     if (answer.status == 200 && !drop_responses && !cut && in_time && in_session == session) {
       const auto doc = Document::parse(answer.body);
-      const auto baton = doc->root()["baton"].count();
-      if (baton && *baton >= token) {
-        token = *baton;
+      const auto answered = doc->root()["baton"].count();
+      if (answered && *answered >= token) {
+        token = *answered;
         answered_sent_ = sent;
         obey(doc->root()["orders"]);
       }
@@ -539,7 +539,7 @@
     obey(root["orders"]);
     status = 200;
   }
-  return reply(status, wire::write_beat(report()));
+  return reply(status, wire::write_report(report()));
 }
 
 // ---- all together
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -169,7 +169,7 @@
   Task<void> watch_lease();
   void power_off();
   Task<http::Reply> direct(http::Call call);  // POST /do
-  Beat report();
+  WorkerReport report();
   void obey(wire::View orders);
   void lose_lease();
 
