--- a/benchmarks/cost_driver.cpp
+++ b/benchmarks/cost_driver.cpp
@@ -3,6 +3,7 @@
 // runs of one binary execute the same instructions. Every request passes through the HTTP parser
 // and renderer, as it would on a socket; system calls are not part of it.
 #include <CLI/CLI.hpp>
+#include <cstdio>
 #include <iostream>
 
 #include "dunlinknot/http/message.hpp"
@@ -49,7 +50,7 @@
       p.report = Seconds(2.5);
       p.state_rps = 200;
       p.state_write_rps = 80;
-      p.value_bytes = 16 * 1024;
+      p.value_bytes = size_t{16} * 1024;
       p.max_connections = 1800;
     };
     site_.cloud.types = catalog();
@@ -63,7 +64,7 @@
         return to_nanos(Seconds(load_.task_seconds * factor));
       };
     };
-    site_.on_request = [this](http::Request request) {
+    site_.on_request = [this](const http::Request& request) {
       if (request.target == "/agent/beat") {
         ++counts_.reports;
         counts_.report_bytes += request.body.size();
@@ -84,8 +85,12 @@
     double jobs_due = 75;  // what waits at the start
     double polls_due = 0;
     while (site_.clock.now() < end) {
-      for (; jobs_due >= 1; --jobs_due) site_.loop.spawn(submit_next());
-      for (; polls_due >= 1; --polls_due) site_.loop.spawn(poll_one());
+      const auto jobs = static_cast<uint32_t>(jobs_due);
+      for (uint32_t i = 0; i < jobs; ++i) site_.loop.spawn(submit_next());
+      jobs_due -= jobs;
+      const auto polls = static_cast<uint32_t>(polls_due);
+      for (uint32_t i = 0; i < polls; ++i) site_.loop.spawn(poll_one());
+      polls_due -= polls;
       site_.loop.spawn(probe());
       site_.run_for(seconds(1));
       jobs_due += load_.jobs_per_second;
@@ -188,15 +193,20 @@
 }  // namespace dunlinknot::test
 
 int main(int argc, char** argv) {
-  dunlinknot::test::Load load;
-  CLI::App app{"Drives one controller at a given cluster size, for callgrind"};
-  app.add_option("--machines", load.machines, "Machines of the cluster");
-  app.add_option("--seconds", load.seconds, "Simulated seconds");
-  app.add_option("--take-overs", load.take_overs, "Restarts of the controller");
-  app.add_option("--polls-per-second", load.polls_per_second, "Users' questions");
-  CLI11_PARSE(app, argc, argv);
-  dunlinknot::test::Driver driver(load);
-  driver.run();
-  driver.print();
-  return 0;
+  try {
+    dunlinknot::test::Load load;
+    CLI::App app{"Drives one controller at a given cluster size, for callgrind"};
+    app.add_option("--machines", load.machines, "Machines of the cluster");
+    app.add_option("--seconds", load.seconds, "Simulated seconds");
+    app.add_option("--take-overs", load.take_overs, "Restarts of the controller");
+    app.add_option("--polls-per-second", load.polls_per_second, "Users' questions");
+    CLI11_PARSE(app, argc, argv);
+    dunlinknot::test::Driver driver(load);
+    driver.run();
+    driver.print();
+    return 0;
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "cost_driver: %s\n", e.what());
+    return 1;
+  }
 }
