--- /dev/null
+++ b/tests/state_service.cpp
@@ -0,0 +1,272 @@
+// The scripted state service: keys, transactions, leases and watches.
+#include <charconv>
+
+#include "support.hpp"
+
+namespace dunlinknot::test {
+
+using http::Call;
+using http::Reply;
+using wire::Document;
+using wire::View;
+using wire::Writer;
+
+namespace {
+
+std::string param(const std::string& target, const std::string& name) {
+  const auto at = target.find(name + "=");
+  if (at == std::string::npos) return "";
+  const auto end = target.find('&', at);
+  return target.substr(at + name.size() + 1,
+                       end == std::string::npos ? end : end - at - name.size() - 1);
+}
+
+uint64_t number(const std::string& s) {
+  return s.empty() ? 0 : std::stoull(s);
+}
+
+std::string repack(View v) {
+  Writer w;
+  const std::function<void(View)> go = [&](View x) {
+    if (x.null()) {
+      w.null();
+    } else if (x.is_list()) {
+      w.list(x.size());
+      for (size_t i = 0; i < x.size(); ++i) go(x.at(i));
+    } else if (x.is_map()) {
+      w.map(x.map_size());
+      for (size_t i = 0; i < x.map_size(); ++i) {
+        w.key(x.key_at(i));
+        go(x.value_at(i));
+      }
+    } else if (const auto t = x.text()) {
+      w.text(*t);
+    } else if (const auto f = x.flag()) {
+      w.flag(*f);
+    } else if (const auto n = x.count()) {
+      w.count(*n);
+    } else {
+      w.amount(x.amount().value_or(0));
+    }
+  };
+  go(v);
+  return w.take();
+}
+
+}  // namespace
+
+void StateService::note(std::string key, bool deleted, std::string value) {
+  events_.push_back({revision_, std::move(key), deleted, std::move(value)});
+}
+
+void StateService::put(const std::string& key, std::string value) {
+  ++revision_;
+  data[key] = Entry{value, revision_, 0};
+  note(key, false, std::move(value));
+}
+
+void StateService::erase(const std::string& key) {
+  ++revision_;
+  data.erase(key);
+  note(key, true, "");
+}
+
+void StateService::end_outage() {
+  outage = false;
+  for (auto& [id, lease] : leases_) lease.ends = loop_.now() + lease.ttl;
+}
+
+void StateService::expire() {
+  if (outage) return;
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (loop_.now() < it->second.ends) {
+      ++it;
+      continue;
+    }
+    const uint64_t id = it->first;
+    it = leases_.erase(it);
+    std::vector<std::string> keys;
+    for (const auto& [k, e] : data) {
+      if (e.lease == id) keys.push_back(k);
+    }
+    for (const auto& k : keys) erase(k);
+  }
+}
+
+Reply StateService::multi(View root) {
+  std::vector<std::string> failed;
+  const View guards = root["guards"];
+  for (size_t i = 0; i < guards.size(); ++i) {
+    const std::string key(*guards.at(i)["key"].text());
+    const auto it = data.find(key);
+    const uint64_t stamp = it == data.end() ? 0 : it->second.stamp;
+    if (stamp != *guards.at(i)["stamp"].count()) failed.push_back(key);
+  }
+  Writer w;
+  if (!failed.empty()) {
+    w.map(2).key("failed").list(failed.size());
+    for (const auto& f : failed) w.text(f);
+    w.key("ledgerRev").count(revision_);
+    return reply(409, w.take());
+  }
+  const View writes = root["writes"];
+  max_writes = std::max(max_writes, writes.size());
+  for (size_t i = 0; i < writes.size(); ++i) {
+    const auto lease = writes.at(i)["tenancy"].count();
+    if (lease && !leases_.contains(*lease)) {
+      return reply(400, wire::write_error("no such lease"));
+    }
+  }
+  if (writes.size() > 0) ++revision_;
+  for (size_t i = 0; i < writes.size(); ++i) {
+    const View op = writes.at(i);
+    if (const auto key = op["put"].text()) {
+      std::string value = repack(op["v"]);
+      max_value = std::max(max_value, value.size());
+      data[std::string(*key)] = Entry{value, revision_, op["tenancy"].count().value_or(0)};
+      note(std::string(*key), false, std::move(value));
+    } else {
+      const std::string gone(*op["delete"].text());
+      if (data.erase(gone)) note(gone, true, "");
+    }
+  }
+  w.map(1).key("ledgerRev").count(revision_);
+  return reply(200, w.take());
+}
+
+Task<void> StateService::multi_later(std::string body) {
+  co_await loop_.sleep(late_by);
+  const auto doc = Document::parse(body);
+  expire();
+  (void)multi(doc->root());
+}
+
+Task<Reply> StateService::changes(std::string target, Instant deadline) {
+  const std::string prefix = param(target, "starts");
+  const uint64_t since = number(param(target, "since"));
+  const Instant end = loop_.now() + Millis(number(param(target, "blockMs")));
+  for (;;) {
+    if (too_old) co_return reply(410);
+    if (loop_.now() >= deadline) co_return Reply{};  // the client gave up
+    expire();
+    std::vector<const Event*> news;
+    if (!outage) {
+      for (const auto& e : events_) {
+        if (e.revision > since && e.key.starts_with(prefix)) news.push_back(&e);
+      }
+    }
+    if (!news.empty() || (loop_.now() >= end && !outage)) {
+      Writer w;
+      w.map(2).key("ledgerRev").count(revision_).key("news").list(news.size());
+      for (const auto* e : news) {
+        if (e->deleted) {
+          w.map(2).key("delete").text(e->key).key("stamp").count(e->revision);
+        } else {
+          w.map(3).key("put").text(e->key).key("v").raw(e->value).key("stamp").count(e->revision);
+        }
+      }
+      co_return reply(200, w.take());
+    }
+    co_await loop_.sleep(Millis(10));
+  }
+}
+
+// Renews or ends a lease.
+Reply StateService::lease_request(const std::string& method, const std::string& target) {
+  const uint64_t id = std::stoull(target.substr(8));
+  const auto it = leases_.find(id);
+  if (it == leases_.end()) return reply(404);
+  if (method == "DELETE") {
+    it->second.ends = loop_.now();
+    expire();
+  } else {
+    it->second.ends = loop_.now() + it->second.ttl;
+  }
+  return reply(200);
+}
+
+Reply StateService::read_key(const std::string& target) const {
+  const auto it = data.find(target.substr(6));
+  Writer w;
+  if (it == data.end()) {
+    w.map(1).key("ledgerRev").count(revision_);
+    return reply(404, w.take());
+  } else {
+    w.map(4).key("key").text(it->first).key("v").raw(it->second.value);
+    w.key("stamp").count(it->second.stamp).key("tenancy");
+    it->second.lease ? w.count(it->second.lease) : w.null();
+    return reply(200, w.take());
+  }
+}
+
+Reply StateService::list_keys(const std::string& target) const {
+  const std::string prefix = param(target, "starts");
+  const std::string after = param(target, "since");
+  const uint64_t most = number(param(target, "most"));
+  std::vector<std::pair<std::string, const Entry*>> rows;
+  bool more = false;
+  for (const auto& [k, e] : data) {
+    if (!k.starts_with(prefix) || (!after.empty() && k <= after)) continue;
+    if (rows.size() == most) {
+      more = true;
+      break;
+    }
+    rows.emplace_back(k, &e);
+  }
+  Writer w;
+  w.map(3).key("rows").list(rows.size());
+  for (const auto& [k, e] : rows) {
+    w.map(3).key("key").text(k).key("v").raw(e->value).key("stamp").count(e->stamp);
+  }
+  w.key("more").flag(more).key("ledgerRev").count(revision_);
+  return reply(200, w.take());
+}
+
+// All requests but watches.
+Reply StateService::execute(const Call& call) {
+  const auto doc = Document::parse(call.body);
+  const View root = doc ? doc->root() : View();
+  if (call.target == "/multi") return multi(root);
+  if (call.target == "/leases") {
+    const Millis ttl(*root["ttlMs"].count());
+    leases_[next_lease_] = Lease{ttl, loop_.now() + ttl};
+    Writer w;
+    w.map(1).key("tenancy").count(next_lease_++);
+    return reply(200, w.take());
+  }
+  if (call.target.starts_with("/leases/")) return lease_request(call.method, call.target);
+  if (call.target.starts_with("/keys/")) return read_key(call.target);
+  if (call.target.starts_with("/keys?")) return list_keys(call.target);
+  return reply(400);
+}
+
+Task<Reply> StateService::serve(Call call) {
+  ++requests;
+  const Fate f = fate ? fate(call) : Fate::normal;
+  co_await loop_.sleep(Millis(3));
+  if (f == Fate::refuse || (outage && !call.target.starts_with("/changes"))) co_return reply(503);
+  if (f == Fate::lose_request) {
+    co_await loop_.sleep_until(call.deadline);
+    co_return Reply{};
+  }
+  if (f == Fate::apply_late) {
+    loop_.spawn(multi_later(call.body));
+    co_await loop_.sleep_until(call.deadline);
+    co_return Reply{};
+  }
+  expire();
+  Reply out;
+  if (call.target.starts_with("/changes")) {
+    out = co_await changes(call.target, call.deadline);
+  } else {
+    out = execute(call);
+  }
+  if (f == Fate::slow_reply) co_await loop_.sleep(late_by);
+  if (f == Fate::lose_reply) {
+    co_await loop_.sleep_until(call.deadline);
+    co_return Reply{};
+  }
+  co_return out;
+}
+
+}  // namespace dunlinknot::test
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -71,6 +71,9 @@
 // What happens to one call on its way.
 enum class Fate { normal, refuse, lose_request, lose_reply, slow_reply, apply_late };
 
+// A response with this status.
+http::Reply reply(int status, std::string body = "");
+
 class StateService {
  public:
   explicit StateService(Loop& loop) : loop_(loop) {}
--- /dev/null
+++ b/tests/worker.cpp
@@ -0,0 +1,194 @@
+// The scripted worker: tokens, sessions, leases, and commands in the order they come.
+#include "support.hpp"
+
+namespace dunlinknot::test {
+
+using http::Call;
+using http::Reply;
+using wire::Document;
+using wire::View;
+
+Worker::Worker(Loop& loop, std::string id_, const MachineType& type, std::string zone, bool spot,
+               std::string address_, Nanos lease)
+    : id(std::move(id_)),
+      address(std::move(address_)),
+      loop_(loop),
+      type_(type),
+      zone_(std::move(zone)),
+      spot_(spot),
+      lease_(lease),
+      answered_sent_(loop.now()) {}
+
+WorkerReport Worker::report() {
+  advance();
+  WorkerReport b;
+  b.machine = id;
+  b.address = address;
+  b.type = type_.name;
+  b.zone = zone_;
+  b.spot = spot_;
+  b.session = session;
+  b.seq = ++seq;
+  b.token = token;
+  b.notice = notice;
+  for (const auto& [key, t] : tasks) {
+    b.tasks.push_back({t.task, t.attempt, t.state, t.cause, t.saved});
+  }
+  return b;
+}
+
+void Worker::end(Running& r, ExitCause cause) {
+  if (on_end) on_end(Running{r.task, r.attempt, r.state, cause, r.saved, r.since, r.ends});
+  r.state = TaskState::exited;
+  r.cause = cause;
+}
+
+void Worker::advance() {
+  for (auto& [key, t] : tasks) {
+    if (t.state == TaskState::running && loop_.now() >= t.ends) {
+      end(t, fails && fails(t.task) ? ExitCause::error : ExitCause::done);
+    } else if (t.state == TaskState::saving && loop_.now() >= t.ends) {
+      t.saved = true;
+      end(t, ExitCause::stopped);
+    }
+  }
+}
+
+void Worker::end_all() {
+  for (auto& [key, t] : tasks) {
+    if (t.state != TaskState::exited) end(t, ExitCause::none);
+  }
+}
+
+void Worker::power_off() {
+  on = false;
+  end_all();
+}
+
+void Worker::lose_lease() {
+  end_all();
+  tasks.clear();
+  ++session;
+  answered_sent_ = loop_.now();
+}
+
+void Worker::obey(View orders) {
+  advance();
+  for (size_t i = 0; i < orders.size(); ++i) {
+    const View o = orders.at(i);
+    const TaskRef task = *TaskRef::parse(*o["piece"].text());
+    const uint64_t attempt = *o["try"].count();
+    const auto key = std::pair(task, attempt);
+    const std::string_view verb = *o["verb"].text();
+    const auto it = tasks.find(key);
+    if (verb == "run") {
+      if (it != tasks.end()) continue;
+      Running r{task,
+                attempt,
+                TaskState::running,
+                ExitCause::none,
+                false,
+                loop_.now(),
+                loop_.now() + (run_time ? run_time(task) : Nanos(seconds(5)))};
+      for (const auto& [k, t] : tasks) {
+        if (k.first == task && t.state != TaskState::exited) {
+          r.state = TaskState::exited;
+          r.cause = ExitCause::busy;
+        }
+      }
+      if (r.state == TaskState::running) {
+        started.emplace_back(task, attempt);
+        if (on_start) on_start(task);
+      }
+      tasks[key] = r;
+    } else if (verb == "stop" && it != tasks.end() && it->second.state != TaskState::exited) {
+      const double grace = *o["windDownS"].amount();
+      const auto spec = specs ? specs->find(task.job) : std::map<std::string, JobSpec>::iterator{};
+      const bool saves = specs && spec != specs->end() && spec->second.checkpoint > Seconds(0) &&
+                         grace >= spec->second.save.count();
+      if (it->second.state == TaskState::running && saves) {
+        it->second.state = TaskState::saving;
+        it->second.ends = loop_.now() + to_nanos(spec->second.save);
+      } else if (it->second.state != TaskState::saving || grace == 0) {
+        end(it->second, ExitCause::stopped);
+      }
+    } else if (verb == "forget" && it != tasks.end() && it->second.state == TaskState::exited) {
+      tasks.erase(it);
+    }
+  }
+}
+
+Task<void> Worker::run(std::function<Task<http::Response>(http::Request)> handler, Nanos pace) {
+  while (on) {
+    const Instant sent = loop_.now();
+    if (hung) {
+      co_await loop_.sleep(Millis(50));
+      continue;
+    }
+    if (sent - answered_sent_ > lease_) lose_lease();
+    if (cut || mute) {
+      co_await loop_.sleep(pace);
+      continue;
+    }
+    const uint64_t in_session = session;
+    http::Request r;
+    r.method = "POST";
+    r.target = "/agent/beat";
+    r.body = wire::write_report(report());
+    http::Response answer = co_await handler(std::move(r));
+    co_await loop_.sleep(Millis(1));
+    if (!on) co_return;
+    // A response that took too long was given up, and a machine that hung meanwhile drops it too.
+    const bool in_time = loop_.now() - sent <= seconds(4) && !hung;
+    if (answer.status == 200 && !drop_responses && !cut && in_time && in_session == session) {
+      const auto doc = Document::parse(answer.body);
+      const auto answered = doc->root()["baton"].count();
+      if (answered && *answered >= token) {
+        token = *answered;
+        answered_sent_ = sent;
+        obey(doc->root()["orders"]);
+      }
+    }
+    co_await loop_.sleep(pace);
+  }
+}
+
+Task<void> Worker::watch_lease() {
+  while (on) {
+    const Instant ends = answered_sent_ + lease_;
+    co_await loop_.sleep_until(std::max(ends, loop_.now()) + Millis(1));
+    if (on && loop_.now() - answered_sent_ > lease_) lose_lease();
+  }
+}
+
+// A hung machine has the command in its socket, and executes it when it goes on.
+Task<void> Worker::execute_later(std::string body) {
+  while (on && hung) co_await loop_.sleep(Millis(20));
+  if (!on) co_return;
+  if (loop_.now() - answered_sent_ > lease_) lose_lease();
+  (void)execute(body);
+}
+
+Task<Reply> Worker::direct(Call call) {
+  co_await loop_.sleep(Millis(1));
+  if (on && hung) loop_.spawn(execute_later(call.body));
+  if (!on || cut || refuse_direct || hung) {
+    co_await loop_.sleep_until(call.deadline);
+    co_return Reply{};
+  }
+  co_return execute(call.body);
+}
+
+Reply Worker::execute(const std::string& body) {
+  const auto doc = Document::parse(body);
+  const View root = doc->root();
+  int status = 409;
+  if (*root["baton"].count() >= token && *root["shift"].count() == session) {
+    token = *root["baton"].count();
+    obey(root["orders"]);
+    status = 200;
+  }
+  return reply(status, wire::write_report(report()));
+}
+
+}  // namespace dunlinknot::test
