--- a/tests/worker.cpp
+++ b/tests/worker.cpp
@@ -8,10 +8,10 @@
 using wire::Document;
 using wire::View;
 
-Worker::Worker(Loop& loop, std::string id_, const MachineType& type, std::string zone, bool spot,
-               std::string address_, Nanos lease)
-    : id(std::move(id_)),
-      address(std::move(address_)),
+Worker::Worker(Loop& loop, std::string machine_id, const MachineType& type, std::string zone,
+               bool spot, std::string worker_address, Nanos lease)
+    : id(std::move(machine_id)),
+      address(std::move(worker_address)),
       loop_(loop),
       type_(type),
       zone_(std::move(zone)),
