--- a/tests/cloud_service.cpp
+++ b/tests/cloud_service.cpp
@@ -1,6 +1,4 @@
 // The scripted cloud: rentals, deletions and a machine list that lags.
-#include <charconv>
-
 #include "support.hpp"
 
 namespace dunlinknot::test {
--- a/tests/state_service.cpp
+++ b/tests/state_service.cpp
@@ -1,6 +1,4 @@
 // The scripted state service: keys, transactions, leases and watches.
-#include <charconv>
-
 #include "support.hpp"
 
 namespace dunlinknot::test {
@@ -25,6 +23,7 @@
   return s.empty() ? 0 : std::stoull(s);
 }
 
+// Packs a view again, so that it can be kept.
 std::string repack(View v) {
   Writer w;
   const std::function<void(View)> go = [&](View x) {
