Zone rules are decided in one place: nominations no longer break them

Cause: a nomination was made without looking at the job's other nominations, and used without looking at where its other tasks had gone; what was placed in a round was not counted for the rest of it. A job with its tasks in one zone had room made for it in several zones and used it in all of them; the same for jobs of which half may be in one zone.

PlacementConstraints (cluster/placement_constraints.hpp) counts bookings, placements of the round and nominations; arrays, nominated tasks, gangs, kept room, eviction candidates and rentals ask it. A nomination that is no longer allowed is cleared. A booking against the constraints is refused, logged and counted where it is made. Tasks that nobody booked: what was not sent and may not stand beside them is undone. A plan is applied under the lock under which it was made (scheduler/apply.hpp).

Also: a task whose room was lost is rented for when machines can be rented; it waited on a nomination that was neither used nor renewed.

--- a/src/dunlinknot/cluster/bookings.cpp
+++ b/src/dunlinknot/cluster/bookings.cpp
@@ -1,5 +1,8 @@
 // Bookings: how they are made, stopped and ended, and what their end means for their gang.
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
+#include <set>
 
 #include "dunlinknot/cluster/cluster.hpp"
 #include "dunlinknot/cluster/find.hpp"
@@ -13,16 +16,20 @@
     h.used += b.need;
     if (b.team >= 0) usage_[static_cast<size_t>(b.team)].used += b.need;
   }
-  if (Job* j = job(b.task.job); j && b.task.index < j->spec().tasks) {
-    j->booked(b.task.index);
-    if (b.ahead) ++j->ahead;
-    if (b.gang) j->gang_attempt = std::max(j->gang_attempt, b.attempt);
-  }
+  if (Job* j = job(b.task.job)) count_for_job(*j, b);
   auto& holders = holders_[b.task.job];
   if (std::find(holders.begin(), holders.end(), &h) == holders.end()) holders.push_back(&h);
   h.bookings.push_back(std::move(b));
 }
 
+void Cluster::count_for_job(Job& j, const Booking& b) {
+  if (b.task.index >= j.spec().tasks) return;
+  j.booked(b.task.index);
+  if (b.ahead) ++j.ahead;
+  if (b.state == TaskState::running) ++j.running;
+  if (b.gang) j.gang_attempt = std::max(j.gang_attempt, b.attempt);
+}
+
 const std::vector<Host*>& Cluster::holders(const std::string& job) const {
   static const std::vector<Host*> none;
   const auto it = holders_.find(job);
@@ -80,18 +87,53 @@
   }
 }
 
-Booking& Cluster::book(Host& h, Job& j, uint32_t index, uint64_t attempt, Instant now) {
+template <class Predicate>
+PlacementConstraints Cluster::count_bookings(const Job& j, Predicate&& which) const {
+  PlacementConstraints constraints(j.spec());
+  if (!constraints.zone_bound()) return constraints;
+  for (const Host* h : holders(j.spec().id)) {
+    const auto counts = [&](const Booking& b) { return b.task.job == j.spec().id && which(b); };
+    const auto tasks = std::count_if(h->bookings.begin(), h->bookings.end(), counts);
+    constraints.add(h->zone, static_cast<uint32_t>(tasks));
+  }
+  return constraints;
+}
+
+PlacementConstraints Cluster::constraints_of(const Job& j) const {
+  return count_bookings(j, [](const Booking&) { return true; });
+}
+
+PlacementConstraints Cluster::constraints_of_sent(const Job& j) const {
+  return count_bookings(j, [](const Booking& b) { return !b.unsent(); });
+}
+
+// Safety 4: a job's bookings never break its constraints, so neither do its tasks, which are only
+// where it has bookings.
+bool Cluster::may_book(const Host& h, Job& j, uint32_t index) {
+  const bool allowed =
+      kind_allowed(j.spec(), h.type, h.zone, h.spot) && constraints_of(j).tasks_allowed(h.zone) > 0;
+  if (allowed) return true;
+  j.requeue(index);
+  ++refused_bookings_;
+  spdlog::error("a booking of {} on machine {} ({} in {}) was planned against its constraints",
+                TaskRef{j.spec().id, index}.text(), h.id, h.type, h.zone);
+  return false;
+}
+
+Booking* Cluster::book(Host& h, Job& j, uint32_t index, uint64_t attempt, Instant now) {
+  if (!may_book(h, j, index)) return nullptr;
   add_booking(h, booking_of(h, j, index, attempt, now));
-  return h.bookings.back();
+  return &h.bookings.back();
 }
 
-Booking& Cluster::book_ahead(Host& h, Job& j, uint32_t index, uint64_t attempt, Turn turn,
+Booking* Cluster::book_ahead(Host& h, Job& j, uint32_t index, uint64_t attempt, Turn turn,
                              Instant now) {
+  if (!may_book(h, j, index)) return nullptr;
   Booking b = booking_of(h, j, index, attempt, now);
   b.ahead = true;
   b.turn = turn;
   add_booking(h, std::move(b));
-  return h.bookings.back();
+  return &h.bookings.back();
 }
 
 Booking Cluster::booking_of(Host& h, const Job& j, uint32_t index, uint64_t attempt, Instant now) {
@@ -215,18 +257,48 @@
   return effects;
 }
 
-Effects Cluster::drop_unsent(const std::string& id, Instant now) {
+template <class Predicate>
+Effects Cluster::end_unsent(const std::string& id, Instant now, Predicate&& which) {
   Effects effects;
   for (Host* h : std::vector(holders(id))) {
     for (size_t i = h->bookings.size(); i-- > 0;) {
-      if (i >= h->bookings.size()) continue;
+      if (i >= h->bookings.size()) continue;  // the end of one may end others
       const Booking& b = h->bookings[i];
-      if (b.task.job == id && b.phase == Phase::planned) effects |= end_booking(*h, i, now);
+      if (b.task.job == id && b.unsent() && which(*h, b)) effects |= end_booking(*h, i, now);
     }
   }
   return effects;
 }
 
+Effects Cluster::drop_unsent(const std::string& id, Instant now) {
+  return end_unsent(id, now,
+                    [](const Host&, const Booking& b) { return b.phase == Phase::planned; });
+}
+
+// An orphan task is on its machine, whatever was planned meanwhile. What was not sent and may not
+// stand beside it is undone before it can start, to be planned anew. A gang is broken as a whole:
+// none of its attempts may start until the orphan, which is being stopped, is gone.
+Effects Cluster::make_way_for(const Job& j, const TaskRef& orphan, Instant now) {
+  const std::string& id = j.spec().id;
+  if (j.spec().gang) {
+    Effects effects;
+    std::set<uint64_t> attempts;
+    for (const Host* h : holders(id)) {
+      for (const Booking& b : h->bookings) {
+        if (b.task.job == id) attempts.insert(b.attempt);
+      }
+    }
+    for (const uint64_t attempt : attempts) break_gang(id, attempt, now, effects);
+    return effects;
+  }
+  PlacementConstraints constraints = constraints_of_sent(j);
+  return end_unsent(id, now, [&](const Host& h, const Booking& b) {
+    if (b.task == orphan || constraints.tasks_allowed(h.zone) == 0) return true;
+    constraints.add(h.zone, 1);
+    return false;
+  });
+}
+
 std::vector<StopCall> Cluster::take_stop_calls() {
   std::vector<StopCall> calls;
   for (const auto& id : stop_hosts_) {
--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -97,7 +97,19 @@
     std::erase_if(e.arrivals, [&](const auto& a) { return a.first < old; });
     std::erase_if(e.images, [&](const auto& i) { return i.second < old; });
   }
-  jobs_[id] = std::make_unique<Job>(std::move(record.spec), record.submitted, stamp, team, now);
+  auto& loaded = jobs_[id] =
+      std::make_unique<Job>(std::move(record.spec), record.submitted, stamp, team, now);
+  count_earlier_bookings(*loaded);
+}
+
+// Bookings of a job that became known after them, such as an orphan's: its tasks are not free to be
+// placed again.
+void Cluster::count_earlier_bookings(Job& j) {
+  for (const Host* h : holders(j.spec().id)) {
+    for (const Booking& b : h->bookings) {
+      if (b.task.job == j.spec().id) count_for_job(j, b);
+    }
+  }
 }
 
 void Cluster::load_done(const std::string& id, uint32_t chunk, wire::View value, uint64_t stamp) {
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "dunlinknot/cluster/job.hpp"
+#include "dunlinknot/cluster/placement_constraints.hpp"
 #include "dunlinknot/settings/settings.hpp"
 #include "dunlinknot/wire/records.hpp"
 
@@ -227,9 +228,15 @@
   Instant lease_over(const Host& h) const;
 
   // --- decisions
-  Booking& book(Host& host, Job& job, uint32_t index, uint64_t attempt, Instant now);
-  Booking& book_ahead(Host& host, Job& job, uint32_t index, uint64_t attempt, Turn turn,
+  // Where further tasks of the job may go, given all its bookings.
+  PlacementConstraints constraints_of(const Job& job) const;
+  // Null when the job's constraints do not allow the task there: it is pending again. Whoever plans
+  // a booking has asked `constraints_of` before, so that is a fault of the plan: it is logged and
+  // counted.
+  Booking* book(Host& host, Job& job, uint32_t index, uint64_t attempt, Instant now);
+  Booking* book_ahead(Host& host, Job& job, uint32_t index, uint64_t attempt, Turn turn,
                       Instant now);
+  uint64_t refused_bookings() const { return refused_bookings_; }
   // Takes one of the job's tasks that wait on some machine back, so that it can go elsewhere.
   bool take_back_ahead(const std::string& job, Instant now);
   // What ahead tasks must leave free: on machines, and of teams' limits.
@@ -266,10 +273,20 @@
   bool is_gone(const std::string& id) const { return gone_.contains(id); }
 
  private:
+  // Counts those of the job's bookings of which `which` is true.
+  template <class Predicate>
+  PlacementConstraints count_bookings(const Job& j, Predicate&& which) const;
+  PlacementConstraints constraints_of_sent(const Job& j) const;
+  bool may_book(const Host& h, Job& j, uint32_t index);
   Booking booking_of(Host& h, const Job& j, uint32_t index, uint64_t attempt, Instant now);
   void add_booking(Host& h, Booking b);
+  static void count_for_job(Job& j, const Booking& b);
+  void count_earlier_bookings(Job& j);
   // Ends booking i of h. Returns what follows from it.
   Effects end_booking(Host& h, size_t i, Instant now, bool gang_goes_on = false);
+  // Ends the job's unsent bookings of which `which` is true.
+  template <class Predicate>
+  Effects end_unsent(const std::string& job, Instant now, Predicate&& which);
   Effects on_exit(Host& h, const TaskReport& r, Instant now);
   void break_gang(const std::string& job, uint64_t attempt, Instant now, Effects& effects);
   void stop_gang(const std::string& job, uint64_t attempt, Seconds grace, Instant now);
@@ -282,7 +299,10 @@
   void take_host_state(Host& h, const WorkerReport& b, Instant now, bool complete,
                        Effects& effects);
   Effects end_bookings_before(Host& h, uint64_t session, Instant now);
-  Booking& book_orphan(Host& h, const TaskReport& task, const Job* j, Instant now);
+  Booking& book_orphan(Host& h, const TaskReport& task, const Job* j, Instant now,
+                       Effects& effects);
+  bool welcome(const Host& h, const Job& j, uint32_t index) const;
+  Effects make_way_for(const Job& j, const TaskRef& orphan, Instant now);
   bool take_task(Host& h, const TaskReport& t, Instant now, Effects& effects);
   bool end_unlisted(Host& h, const WorkerReport& b, Instant now, Effects& effects);
   void note_image(Host& h, const Job& job);
@@ -310,6 +330,7 @@
   std::deque<std::string> dirty_hosts_;
   std::vector<std::string> runnable_;
   bool work_waits_ = false;
+  uint64_t refused_bookings_ = 0;
   std::vector<Host*> held_hosts_;
   std::vector<Resources> saved_;         // of teams' limits, for gangs that wait for them
   std::vector<std::string> stop_hosts_;  // hosts with stops that were not called out yet
--- a/src/dunlinknot/cluster/job.hpp
+++ b/src/dunlinknot/cluster/job.hpp
@@ -24,7 +24,8 @@
   // Tasks that are neither done nor booked anywhere.
   uint32_t pending() const { return spec_.tasks - done_count_ - unfinished_live_; }
   uint32_t unfinished() const { return spec_.tasks - done_count_; }
-  std::optional<uint32_t> take_pending();  // the caller books it
+  std::optional<uint32_t> take_pending();                       // the caller books it
+  void requeue(uint32_t index) { requeued_.push_back(index); }  // or gives it back
   bool is_done(uint32_t index) const { return done_[index]; }
   bool is_durable(uint32_t index) const { return durable_[index]; }
   uint32_t done_count() const { return done_count_; }
--- a/src/dunlinknot/cluster/reports.cpp
+++ b/src/dunlinknot/cluster/reports.cpp
@@ -167,14 +167,22 @@
   return effects;
 }
 
+// Whether a task that is on the machine without a booking may stay: a task of an array that waits
+// for a place, where it may be beside the job's other tasks. What was not sent gives way to it.
+bool Cluster::welcome(const Host& h, const Job& j, uint32_t index) const {
+  if (j.spec().gang || j.is_done(index) || j.is_live(index)) return false;
+  if (!kind_allowed(j.spec(), h.type, h.zone, h.spot)) return false;
+  return constraints_of_sent(j).tasks_allowed(h.zone) > 0;
+}
+
 // On the machine without a booking: counted from now on, and stopped unless it is welcome.
-Booking& Cluster::book_orphan(Host& h, const TaskReport& task, const Job* j, Instant now) {
+Booking& Cluster::book_orphan(Host& h, const TaskReport& task, const Job* j, Instant now,
+                              Effects& effects) {
   Booking orphan;
   orphan.task = task.task;
   orphan.attempt = task.attempt;
   orphan.placed_at = now;
-  const uint32_t index = task.task.index;
-  const bool welcome = j && !j->spec().gang && !j->is_done(index) && !j->is_live(index);
+  const bool stays = j && welcome(h, *j, task.task.index);
   if (j) {
     orphan.team = j->team();
     orphan.team_name = j->spec().team;
@@ -186,12 +194,12 @@
   }
   orphan.phase = Phase::seen;
   spdlog::info("machine {} reports {} try {} that is not booked there: {}", h.id, task.task.text(),
-               task.attempt, welcome ? "kept" : "stopped");
+               task.attempt, stays ? "kept" : "stopped");
   add_booking(h, std::move(orphan));
   mark_dirty(h);
-  Booking& booking = h.bookings.back();
-  if (!welcome) stop(h, booking, StopReason::orphan, Seconds(0), now);
-  return booking;
+  if (!stays) stop(h, h.bookings.back(), StopReason::orphan, Seconds(0), now);
+  if (j) effects |= make_way_for(*j, task.task, now);
+  return *h.find(task.task, task.attempt);
 }
 
 // A task that is on the machine. Returns whether that shows that a `run` of ours got there.
@@ -200,7 +208,7 @@
   if (j && t.task.index >= j->spec().tasks) j = nullptr;
   Booking* booking = h.find(t.task, t.attempt);
   if (!booking) {
-    booking = &book_orphan(h, t, j, now);
+    booking = &book_orphan(h, t, j, now, effects);
     effects.store_hosts = true;
   }
   if (!j && !booking->stopping()) stop(h, *booking, StopReason::cancelled, Seconds(0), now);
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "dunlinknot/scheduler/apply.hpp"
+
 namespace dunlinknot::node {
 
 namespace {
@@ -311,13 +313,18 @@
 }
 
 void Daemon::one_round(Instant now) {
+  Effects effects;
   const scheduler::Plan plan = context_.leader_state.with([&](LeaderState& p) {
     p.nominations.settle(p.cluster);
     scheduler::Market market = fleet_.market(now);
     market.machines = p.cluster.hosts().size();
-    return scheduler::plan(p.cluster, p.nominations, market, platform_, op_, loop_.wall(), now);
+    scheduler::Plan decided =
+        scheduler::plan(p.cluster, p.nominations, market, platform_, op_, loop_.wall(), now);
+    effects = scheduler::apply(decided, p, now);
+    return decided;
   });
-  apply(plan, now);
+  evictions_ += plan.evictions.size();
+  context_.follow_up(effects);
   log_waiting(plan, now);
   fleet_.order(plan.capacity_requests);
   fleet_.sweep(plan.wanted, plan.waiting_tasks, now);
@@ -339,69 +346,6 @@
   });
 }
 
-void Daemon::apply(const scheduler::Plan& plan, Instant now) {
-  bool booked = false;
-  Effects effects;
-  context_.leader_state.with([&](LeaderState& p) {
-    for (const uint64_t id : plan.cleared) p.nominations.end(id, preemption::End::cleared);
-    for (const auto& x : plan.placements) {
-      for (const uint64_t id : x.ends_nominations) p.nominations.end(id, preemption::End::placed);
-      Job* j = p.cluster.job(x.job);
-      Host* h = p.cluster.host(x.host);
-      for (uint32_t i = 0; i < x.count; ++i) {
-        auto index = j->take_pending();
-        if (!index && p.cluster.take_back_ahead(x.job, now)) index = j->take_pending();
-        if (!index) break;
-        p.cluster.book(*h, *j, *index, p.cluster.next_attempt(), now);
-        booked = true;
-      }
-      spdlog::debug("placing {} tasks of {} on {} ({})", x.count, x.job, x.host, h->type);
-    }
-    for (const auto& g : plan.gangs) {
-      Job* j = p.cluster.job(g.job);
-      const uint64_t attempt = p.cluster.next_attempt();
-      j->gang_go = false;
-      for (const auto& [host, n] : g.on) {
-        spdlog::debug("placing {} tasks of gang {} on {} ({})", n, g.job, host,
-                      p.cluster.host(host)->type);
-        for (uint32_t i = 0; i < n; ++i) {
-          const auto index = j->take_pending();
-          if (!index) break;
-          p.cluster.book(*p.cluster.host(host), *j, *index, attempt, now);
-          booked = true;
-        }
-      }
-    }
-    for (const auto& x : plan.ahead) {
-      Job* j = p.cluster.job(x.job);
-      Host* h = p.cluster.host(x.host);
-      for (uint32_t i = 0; i < x.count; ++i) {
-        const auto index = j->take_pending();
-        if (!index) break;
-        p.cluster.book_ahead(*h, *j, *index, p.cluster.next_attempt(), x.turn, now);
-        booked = true;
-      }
-    }
-    p.cluster.set_held(plan.held, plan.saved);
-    p.cluster.set_work_waits(plan.waiting_tasks > 0);
-    for (const auto& e : plan.evictions) {
-      if (e.renews) p.nominations.end(e.renews, preemption::End::renominated);
-      Host* h = p.cluster.host(e.host);
-      std::string names;
-      for (const auto& v : e.victims) {
-        effects |= p.cluster.preempt(*h, v.task, v.attempt, now);
-        names += " " + v.task.text();
-      }
-      p.nominations.add(e.job, e.host, e.room, e.priority, e.victims);
-      ++evictions_;
-      spdlog::info("evicting on {} for {} (room {} cpus, {} gpus, {} GB):{}", e.host, e.job,
-                   e.room.cpus, e.room.gpus, e.room.memory_gb, names);
-    }
-  });
-  if (booked) context_.store_hosts.notify();
-  context_.follow_up(effects);
-}
-
 void Daemon::report_cluster() {
   size_t up = 0, machines = 0, fetching = 0, running = 0, other = 0, ahead = 0, waiting = 0;
   Resources size, used;
--- a/src/dunlinknot/node/daemon.hpp
+++ b/src/dunlinknot/node/daemon.hpp
@@ -39,7 +39,6 @@
   Task<void> rounds(uint64_t term);
   void one_round(Instant now);
   void log_waiting(const scheduler::Plan& plan, Instant now);
-  void apply(const scheduler::Plan& plan, Instant now);
   Task<void> learn_catalog();
   Task<void> keep_catalog(uint64_t term);
   Task<void> report_counts();
--- /dev/null
+++ b/src/dunlinknot/scheduler/apply.cpp
@@ -0,0 +1,92 @@
+#include "dunlinknot/scheduler/apply.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace dunlinknot::scheduler {
+
+namespace {
+
+using cluster::Effects;
+using cluster::Host;
+using cluster::Job;
+using cluster::LeaderState;
+
+void book_tasks(const Placement& placement, LeaderState& state, Instant now, Effects& effects) {
+  cluster::Cluster& cluster = state.cluster;
+  for (const uint64_t id : placement.ends_nominations) {
+    state.nominations.end(id, preemption::End::placed);
+  }
+  Job& job = *cluster.job(placement.job);
+  Host& host = *cluster.host(placement.host);
+  spdlog::debug("placing {} tasks of {} on {} ({})", placement.count, placement.job, host.id,
+                host.type);
+  for (uint32_t i = 0; i < placement.count; ++i) {
+    auto index = job.take_pending();
+    if (!index && cluster.take_back_ahead(placement.job, now)) index = job.take_pending();
+    if (!index || !cluster.book(host, job, *index, cluster.next_attempt(), now)) return;
+    effects.store_hosts = true;
+  }
+}
+
+// All of the gang's tasks are booked, or none.
+void book_gang(const GangPlacement& gang, LeaderState& state, Instant now, Effects& effects) {
+  cluster::Cluster& cluster = state.cluster;
+  Job& job = *cluster.job(gang.job);
+  const uint64_t attempt = cluster.next_attempt();
+  job.gang_go = false;
+  for (const auto& [id, count] : gang.on) {
+    Host& host = *cluster.host(id);
+    spdlog::debug("placing {} tasks of gang {} on {} ({})", count, gang.job, id, host.type);
+    for (uint32_t i = 0; i < count; ++i) {
+      const auto index = job.take_pending();
+      if (!index || !cluster.book(host, job, *index, attempt, now)) {
+        effects |= cluster.drop_unsent(gang.job, now);
+        return;
+      }
+    }
+  }
+  effects.store_hosts = true;
+}
+
+void book_ahead(const Ahead& ahead, LeaderState& state, Instant now, Effects& effects) {
+  cluster::Cluster& cluster = state.cluster;
+  Job& job = *cluster.job(ahead.job);
+  Host& host = *cluster.host(ahead.host);
+  for (uint32_t i = 0; i < ahead.count; ++i) {
+    const auto index = job.take_pending();
+    if (!index) return;
+    if (!cluster.book_ahead(host, job, *index, cluster.next_attempt(), ahead.turn, now)) return;
+    effects.store_hosts = true;
+  }
+}
+
+void evict(const Eviction& eviction, LeaderState& state, Instant now, Effects& effects) {
+  if (eviction.renews) state.nominations.end(eviction.renews, preemption::End::renominated);
+  Host& host = *state.cluster.host(eviction.host);
+  std::string names;
+  for (const auto& victim : eviction.victims) {
+    effects |= state.cluster.preempt(host, victim.task, victim.attempt, now);
+    names += " " + victim.task.text();
+  }
+  state.nominations.add(eviction.job, eviction.host, eviction.room, eviction.priority,
+                        eviction.victims);
+  spdlog::info("evicting on {} for {} (room {} cpus, {} gpus, {} GB):{}", eviction.host,
+               eviction.job, eviction.room.cpus, eviction.room.gpus, eviction.room.memory_gb,
+               names);
+}
+
+}  // namespace
+
+Effects apply(const Plan& plan, LeaderState& state, Instant now) {
+  Effects effects;
+  for (const uint64_t id : plan.cleared) state.nominations.end(id, preemption::End::cleared);
+  for (const Placement& placement : plan.placements) book_tasks(placement, state, now, effects);
+  for (const GangPlacement& gang : plan.gangs) book_gang(gang, state, now, effects);
+  for (const Ahead& ahead : plan.ahead) book_ahead(ahead, state, now, effects);
+  state.cluster.set_held(plan.held, plan.saved);
+  state.cluster.set_work_waits(plan.waiting_tasks > 0);
+  for (const Eviction& eviction : plan.evictions) evict(eviction, state, now, effects);
+  return effects;
+}
+
+}  // namespace dunlinknot::scheduler
--- a/src/dunlinknot/scheduler/arrays.cpp
+++ b/src/dunlinknot/scheduler/arrays.cpp
@@ -17,26 +17,34 @@
   // What went first because nothing of it was started begins; the rest has its ordinary turn.
   if (w.overdue && j.done_count() == 0) want = std::min(want, j.spec().tasks / kFirstShare + 1);
   std::vector<uint64_t> own = nominations_.of(j.spec().id);
+  PlacementConstraints constraints = cluster_.constraints_of(j);
   uint32_t placed = 0;
   WaitCause cause = WaitCause::team_limit;
   if (want > 0) {
-    placed = place_nominated(j, want, own);
-    placed += place_array(w, want - placed, own);
+    placed = place_nominated(j, want, own, constraints);
+    placed += place_array(w, want - placed, constraints);
     // What has a nomination waits for its room; the rest may use machines that are coming, then
     // rent.
     want -= placed;
-    const uint32_t wanted = want > own.size() ? want - static_cast<uint32_t>(own.size()) : 0;
+    // Tasks that found a place elsewhere need their nominations no more.
+    while (own.size() > want) {
+      clear_nomination(own.back());
+      own.pop_back();
+    }
+    promise_nominated(own, constraints);
+    const uint32_t wanted = want - static_cast<uint32_t>(own.size());
     uint32_t open = wanted;
-    if (open > 0) open -= place_coming(w, open);
-    if (open > 0) open -= rent_array(w, open);
+    PlacementConstraints expected = constraints;
+    if (open > 0) open -= place_coming(w, open, expected);
+    if (open > 0) open -= rent_array(w, open, expected);
     cause = open < wanted ? WaitCause::machine_coming : WaitCause::no_room;
     if (!own.empty()) cause = WaitCause::eviction;
-    preempt(w, own, open);
+    preempt(w, own, open, constraints);
   }
   if (placed == 0) note_waiting(j, cause);
   if (placed == j.pending() && placed < allowed) {
     // Room for what waits elsewhere: it need not wait, if that is sooner.
-    (void)place_array(w, std::min(j.ahead, allowed - placed), own, ahead_span_);
+    (void)place_array(w, std::min(j.ahead, allowed - placed), constraints, ahead_span_);
   } else if (own.empty()) {
     place_ahead(w, j.pending() - placed);
   }
@@ -44,8 +52,9 @@
 
 void Round::place_ahead(const Waiting& w, uint32_t n) {
   const JobSpec& spec = w.job->spec();
-  if (n == 0 || ahead_span_ <= 0 || w.job->failing || spec.service || spec.one_zone || spec.spread)
-    return;
+  if (n == 0 || ahead_span_ <= 0 || w.job->failing || spec.service) return;
+  // Where a task that waits on a machine would be in the way of the others, or they in its way.
+  if (PlacementConstraints(spec).zone_bound()) return;
   const cluster::Turn mine = absolute(w.turn());
   const double run = std::max(1.0, spec.estimate.count());
   const Resources& used = usage_[static_cast<size_t>(w.job->team())];
@@ -61,7 +70,7 @@
   }
   for (auto& [offer, kind] : kinds_) {
     if (n == 0) return;
-    if (!kind.type || !place_allowed(spec, offer)) continue;
+    if (!kind.type || !offer_allowed(spec, offer)) continue;
     const uint32_t slots = preemption::tasks_in(kind.type->size, spec.need, 10'000);
     if (slots == 0) continue;
     const auto cap = std::clamp(static_cast<uint32_t>(std::ceil(slots * ahead_span_ / run)), 1u,
@@ -86,51 +95,69 @@
   }
 }
 
-uint32_t Round::place_nominated(const Job& j, uint32_t want, std::vector<uint64_t>& own) {
+uint32_t Round::place_nominated(const Job& j, uint32_t want, std::vector<uint64_t>& own,
+                                PlacementConstraints& constraints) {
   uint32_t placed = 0;
   for (size_t i = 0; i < own.size() && placed < want;) {
     const auto& n = nominations_.all().at(own[i]);
     Slot* s = slot_of(n.host);
     if (!s || s->coming || !may_go(j, *s) ||
-        !s->room.fits(j.spec().need, j.spec().priority, n.id)) {
+        !s->room.fits(j.spec().need, j.spec().priority, n.id) ||
+        constraints.tasks_allowed(s->zone()) == 0) {
       ++i;
       continue;
     }
     s->room.end_hold(n.id);
     put(j, *s, 1, {n.id});
+    constraints.add(s->zone(), 1);
     ++placed;
     own.erase(own.begin() + static_cast<ptrdiff_t>(i));
   }
   return placed;
 }
 
-uint32_t Round::place_array(const Waiting& w, uint32_t want, std::vector<uint64_t>& own,
+std::string_view Round::zone_of(uint64_t nomination) const {
+  const auto host = cluster_.hosts().find(nominations_.all().at(nomination).host);
+  return host == cluster_.hosts().end() ? std::string_view() : host->second->zone;
+}
+
+void Round::clear_nomination(uint64_t nomination) {
+  plan_.cleared.push_back(nomination);
+  if (Slot* s = slot_of(nominations_.all().at(nomination).host)) s->room.end_hold(nomination);
+}
+
+// The job's other tasks may have gone elsewhere since the nomination was made.
+void Round::promise_nominated(std::vector<uint64_t>& own, PlacementConstraints& constraints) {
+  std::vector<uint64_t> kept;
+  for (const uint64_t id : own) {
+    const std::string_view zone = zone_of(id);
+    if (zone.empty() || constraints.tasks_allowed(zone) == 0) {
+      clear_nomination(id);
+      continue;
+    }
+    constraints.add(zone, 1);
+    kept.push_back(id);
+  }
+  own = std::move(kept);
+}
+
+uint32_t Round::place_array(const Waiting& w, uint32_t want, PlacementConstraints& constraints,
                             double most) {
   const Job& j = *w.job;
   const JobSpec& spec = j.spec();
   if (want == 0) return 0;
   uint32_t placed = 0;
-  std::map<std::string, uint32_t> zones;
-  const bool zoned = spec.one_zone || spec.spread;
-  if (zoned) zones = zones_in_use(j);
   for (const auto& [cost, s] : ranked(j, false)) {
     if (placed == want || cost > most) break;
     // A second image would halve the rate at which the gang's comes.
     if (s->gang_fetches && !s->host->has_image(spec.image)) continue;
-    uint32_t n = count_on(spec, *s, want - placed);
-    if (n == 0) continue;
-    if (zoned) n = std::min(n, zone_allows(spec, zones, s->zone()));
+    const uint32_t most_here = std::min(want - placed, constraints.tasks_allowed(s->zone()));
+    const uint32_t n = most_here > 0 ? count_on(spec, *s, most_here) : 0;
     if (n == 0) continue;
-    if (zoned) zones[s->zone()] += n;
+    constraints.add(s->zone(), n);
     put(j, *s, n, {});
     placed += n;
   }
-  // Tasks that found a place elsewhere need their nominations no more.
-  while (!own.empty() && own.size() > want - placed) {
-    plan_.cleared.push_back(own.back());
-    if (Slot* s = slot_of(nominations_.all().at(own.back()).host)) s->room.end_hold(own.back());
-    own.pop_back();
-  }
   return placed;
 }
 
@@ -142,7 +169,7 @@
   return std::max(1.0, std::floor(span / run));
 }
 
-uint32_t Round::place_coming(const Waiting& w, uint32_t want) {
+uint32_t Round::place_coming(const Waiting& w, uint32_t want, PlacementConstraints& expected) {
   const JobSpec& spec = w.job->spec();
   uint32_t provided = 0;
   for (const auto& [cost, s] : ranked(*w.job, true)) {
@@ -151,10 +178,12 @@
     double up_in = t.boot.count();
     if (s->host) up_in -= std::min(up_in, to_seconds(now_ - s->host->known_since).count());
     const double times = turns(w, t, up_in);
-    const auto places = static_cast<uint32_t>(std::ceil((want - provided) / times));
-    const uint32_t n = count_on(spec, *s, places);
+    auto places = static_cast<uint32_t>(std::ceil((want - provided) / times));
+    places = std::min(places, expected.tasks_allowed(s->zone()));
+    const uint32_t n = places > 0 ? count_on(spec, *s, places) : 0;
     if (n == 0) continue;
     s->room.take(spec.need * n);
+    expected.add(s->zone(), n);
     provided = std::min(want, provided + static_cast<uint32_t>(n * times));
   }
   return provided;
--- a/src/dunlinknot/scheduler/eviction.cpp
+++ b/src/dunlinknot/scheduler/eviction.cpp
@@ -9,7 +9,8 @@
 
 }  // namespace
 
-void Round::preempt(const Waiting& w, std::vector<uint64_t>& own, uint32_t open) {
+void Round::preempt(const Waiting& w, const std::vector<uint64_t>& own, uint32_t open,
+                    PlacementConstraints& promised) {
   const Job& j = *w.job;
   if (j.failing) return;  // safety 6
   uint32_t tries = open;
@@ -19,19 +20,21 @@
     if (!nominations_.settling(nominations_.all().at(id).host)) again.push_back(id);
   }
   if (tries == 0 && again.empty()) return;
-  if (!deals(j.spec()).empty() && !fleet_full()) return;
+  // With machines to be rented, a task whose room was lost is rented for like any other: it does
+  // not wait on a nomination that is neither used nor renewed.
+  const bool can_rent = !deals(j.spec(), promised).empty() && !fleet_full();
   for (const uint64_t id : again) {
-    if (!evict_for(w, id)) {
-      plan_.cleared.push_back(id);
-      if (Slot* s = slot_of(nominations_.all().at(id).host)) s->room.end_hold(id);
-    }
+    if (!can_rent && evict_for(w, id, promised)) continue;
+    clear_nomination(id);
+    promised.remove(zone_of(id), 1);
   }
+  if (can_rent) return;
   while (tries-- > 0 && plan_.evictions.size() < kMaxEvictionsPerRound) {
-    if (!evict_for(w, 0)) break;
+    if (!evict_for(w, 0, promised)) break;
   }
 }
 
-bool Round::evict_for(const Waiting& w, uint64_t renews) {
+bool Round::evict_for(const Waiting& w, uint64_t renews, PlacementConstraints& promised) {
   if (plan_.evictions.size() >= kMaxEvictionsPerRound) return renews != 0;
   const Job& j = *w.job;
   const JobSpec& spec = j.spec();
@@ -47,9 +50,9 @@
     }
     who.beyond = &beyond;
   }
-  std::map<std::string, uint32_t> zones;
-  const bool zoned = spec.one_zone || spec.spread;
-  if (zoned) zones = zones_in_use(j);
+  // A nomination that is renewed does not stand in the way of the one that replaces it.
+  PlacementConstraints beside = promised;
+  if (renews) beside.remove(zone_of(renews), 1);
   std::optional<preemption::Candidate> best;
   Slot* best_slot = nullptr;
   // What nobody could be evicted for a moment ago, nobody can be evicted for now: jobs of one
@@ -62,12 +65,12 @@
                     spec.need.gpus,
                     spec.need.memory_gb,
                     spec.types,
-                    zoned ? spec.id : spec.zone.value_or("")};
+                    promised.zone_bound() ? spec.id : spec.zone.value_or("")};
   if (renews == 0 && hopeless_.contains(shape)) return false;
   for (Slot& s : slots_) {
     if (s.coming || !spec.need.fits_in(s.host->size)) continue;
     if (evicted_on_.contains(s.host->id) || !may_go(j, s)) continue;
-    if (zoned && zone_allows(spec, zones, s.zone()) == 0) continue;
+    if (beside.tasks_allowed(s.zone()) == 0) continue;
     auto c = preemption::simulate(s.room, nominations_, cluster_, spec.need, renews, who, now_);
     if (!c) continue;
     if (!best || better(*c, s, *best, *best_slot, spec)) {
@@ -95,6 +98,8 @@
   }
   best_slot->room.add_hold(std::numeric_limits<uint64_t>::max(), spec.need, spec.priority);
   usage_[static_cast<size_t>(j.team())] += spec.need;
+  beside.add(best_slot->zone(), 1);
+  promised = std::move(beside);
   return true;
 }
 
--- a/src/dunlinknot/scheduler/gangs.cpp
+++ b/src/dunlinknot/scheduler/gangs.cpp
@@ -22,7 +22,7 @@
 double Round::soonest_boot(const JobSpec& spec, Lend lend) const {
   double soonest = std::numeric_limits<double>::max();
   for (const MachineType& t : cluster_.catalog()) {
-    if (!type_allowed(spec, t.name) || !spec.need.fits_in(t.size)) continue;
+    if (!cluster::type_allowed(spec, t.name) || !spec.need.fits_in(t.size)) continue;
     if (lent(spec, &t, lend)) soonest = std::min(soonest, t.boot.count());
   }
   return soonest;
@@ -92,17 +92,18 @@
     std::vector<std::pair<Slot*, uint32_t>> on;
   };
   std::optional<Choice> best;
+  const PlacementConstraints held = cluster_.constraints_of(j);
   for (const auto& zone : zones) {
     Choice c;
     uint32_t left = spec.tasks;
-    std::map<std::string, uint32_t> used;
+    PlacementConstraints constraints = held;
     for (const auto& [cost, s] : order) {
       if (left == 0) break;
       if (!zone.empty() && s->zone() != zone) continue;
-      uint32_t n = count_on(spec, *s, left);
-      if (spec.spread) n = std::min(n, zone_allows(spec, used, s->zone()));
+      const uint32_t most_here = std::min(left, constraints.tasks_allowed(s->zone()));
+      const uint32_t n = most_here > 0 ? count_on(spec, *s, most_here) : 0;
       if (n == 0) continue;
-      if (spec.spread) used[s->zone()] += n;
+      constraints.add(s->zone(), n);
       c.on.emplace_back(s, n);
       c.cost = std::max(c.cost, cost);  // the slowest sets the gang's start
       left -= n;
@@ -133,16 +134,27 @@
   return ran < run ? run - ran : run / 4;
 }
 
+std::vector<Round::Place> Round::soonest_places(const Job& j, std::vector<Place> places) const {
+  std::stable_sort(places.begin(), places.end(),
+                   [](const Place& a, const Place& b) { return a.in < b.in; });
+  PlacementConstraints constraints = cluster_.constraints_of(j);
+  std::vector<Place> chosen;
+  for (const Place& place : places) {
+    if (chosen.size() == j.spec().tasks) break;
+    if (constraints.tasks_allowed(place.slot->zone()) == 0) continue;
+    constraints.add(place.slot->zone(), 1);
+    chosen.push_back(place);
+  }
+  if (chosen.size() < j.spec().tasks) chosen.clear();
+  return chosen;
+}
+
 bool Round::keep_for_gang(const Job& j, Lend lend, double most) {
   const JobSpec& spec = j.spec();
   if (kept_gangs_.contains(&j)) return true;
-  struct Place {
-    double in = 0;  // seconds until this task has room there, by the estimates
-    Slot* slot = nullptr;
-  };
   std::map<std::string, std::vector<Place>> zones;
   for (auto& [offer, kind] : kinds_) {
-    if (!kind.type || !place_allowed(spec, offer) || !lent(spec, kind.type, lend)) continue;
+    if (!kind.type || !offer_allowed(spec, offer) || !lent(spec, kind.type, lend)) continue;
     if (!spec.need.fits_in(kind.type->size)) continue;
     auto& places = zones[spec.one_zone ? offer.zone : std::string()];
     for (Slot* s : kind.ready) {
@@ -165,20 +177,18 @@
       }
     }
   }
-  std::vector<Place>* best = nullptr;
+  std::vector<Place> best;
   double soonest = 0;
   for (auto& [zone, places] : zones) {
-    if (places.size() < spec.tasks) continue;
-    std::stable_sort(places.begin(), places.end(),
-                     [](const Place& a, const Place& b) { return a.in < b.in; });
-    const double all_in = places[spec.tasks - 1].in;
-    if (best && all_in >= soonest) continue;
-    best = &places;
+    std::vector<Place> chosen = soonest_places(j, std::move(places));
+    if (chosen.empty()) continue;
+    const double all_in = chosen.back().in;
+    if (!best.empty() && all_in >= soonest) continue;
+    best = std::move(chosen);
     soonest = all_in;
   }
-  if (!best || soonest > most) return false;
-  for (uint32_t i = 0; i < spec.tasks; ++i) {
-    Slot* s = (*best)[i].slot;
+  if (best.empty() || soonest > most) return false;
+  for (const auto& [in, s] : best) {
     if (s->kept_for != spec.id) s->kept = Resources{};
     s->kept += spec.need;
     s->kept_for = spec.id;
--- a/src/dunlinknot/scheduler/headroom.cpp
+++ b/src/dunlinknot/scheduler/headroom.cpp
@@ -48,7 +48,7 @@
   std::vector<std::pair<double, Slot*>> order;
   for (Slot& s : slots_) {
     const MachineType* t = s.kind->type;
-    if (!t || !place_allowed(spec, s.kind->offer) || !spec.need.fits_in(t->size)) continue;
+    if (!t || !offer_allowed(spec, s.kind->offer) || !spec.need.fits_in(t->size)) continue;
     if (s.host && borrowed(spec, t)) {
       for (const Booking& b : s.host->bookings) there += b.gang && b.need.gpus <= 0 ? 1 : 0;
     }
--- a/src/dunlinknot/scheduler/renting.cpp
+++ b/src/dunlinknot/scheduler/renting.cpp
@@ -9,16 +9,18 @@
 
 }  // namespace
 
-std::vector<Round::Deal> Round::deals(const JobSpec& spec) const {
+std::vector<Round::Deal> Round::deals(const JobSpec& spec,
+                                      const PlacementConstraints& constraints) const {
   std::vector<Deal> out;
   for (const MachineType& t : cluster_.catalog()) {
-    if (!type_allowed(spec, t.name) || !spec.need.fits_in(t.size)) continue;
+    if (!cluster::type_allowed(spec, t.name) || !spec.need.fits_in(t.size)) continue;
     const double share = share_of(spec.need, t.size);
     const uint32_t n = share > 0 ? static_cast<uint32_t>(1 / share + 1e-9) : 1;
     for (const auto& zone : t.zones) {
+      if (constraints.tasks_allowed(zone) == 0) continue;
       for (const bool spot : {true, false}) {
         const Offer offer{t.name, zone, spot};
-        if (!place_allowed(spec, offer)) continue;
+        if (!offer_allowed(spec, offer)) continue;
         if (market_.refused.contains(offer)) continue;
         const double price = spot ? t.spot_price : t.price;
         out.push_back({offer, std::max(1u, n), price / std::max(1u, n), &t});
@@ -42,26 +44,29 @@
   return *add_expected(offer);
 }
 
-uint32_t Round::rent_array(const Waiting& w, uint32_t open) {
+uint32_t Round::rent_array(const Waiting& w, uint32_t open, const PlacementConstraints& expected) {
   const Job& j = *w.job;
   const JobSpec& spec = j.spec();
   if (j.failing) return 0;
-  const auto offers = deals(spec);
+  const auto offers = deals(spec, expected);
   if (offers.empty() || fleet_full()) return 0;
   const Deal& d = offers.front();
+  // What the job may not have in one zone has to be rented elsewhere, in the rounds that follow.
+  const uint32_t most_there = expected.tasks_allowed(d.offer.zone);
   // As many machines as finish what is left in time, not one for every task at once.
   const double times = turns(w, *d.type, d.type->boot.count());
-  const double per_machine = d.slots * times;
-  uint32_t machines = static_cast<uint32_t>(std::ceil(open / per_machine));
-  machines = std::clamp(machines, 1u, kMostRequested);
   uint32_t places = static_cast<uint32_t>(std::ceil(open / times));
+  const bool all_there = places <= most_there;
+  places = std::min(places, most_there);
+  uint32_t machines = (places + d.slots - 1) / d.slots;
+  machines = std::clamp(machines, 1u, kMostRequested);
   for (uint32_t i = 0; i < machines && !fleet_full(); ++i) {
     Slot& s = request_machine(d.offer, spec.id);
     const uint32_t n = s.room.count(spec.need, spec.priority, places);
     s.room.take(spec.need * n);
     places -= n;
   }
-  return open;
+  return all_there ? open : std::min(open, static_cast<uint32_t>(most_there * times));
 }
 
 bool Round::rent_gang(const Waiting& w, Lend lend) {
@@ -74,17 +79,25 @@
       zone_free[s.zone()] += count_on(spec, s, spec.tasks);
     }
   }
-  const auto offers = deals(spec);
+  const PlacementConstraints held = cluster_.constraints_of(*w.job);
+  const auto offers = deals(spec, held);
   if (offers.empty() || fleet_full()) return false;
   uint32_t everywhere = 0;
-  for (const auto& [z, n] : zone_free) everywhere += n;
+  for (auto& [zone, n] : zone_free) {
+    n = std::min(n, held.tasks_allowed(zone));
+    everywhere += n;
+  }
   const Deal* best = nullptr;
   uint32_t machines = 0;
   double lowest = 0;
   for (const Deal& d : offers) {
     if (!lent(spec, d.type, lend)) continue;
-    const uint32_t have = spec.one_zone ? zone_free[d.offer.zone] : everywhere;
-    const uint32_t missing = spec.tasks > have ? spec.tasks - have : 1;
+    const uint32_t free_there = zone_free[d.offer.zone];
+    const uint32_t allowed_there = held.tasks_allowed(d.offer.zone);
+    if (free_there >= allowed_there) continue;  // more machines there would not help
+    const uint32_t have = spec.one_zone ? free_there : everywhere;
+    uint32_t missing = spec.tasks > have ? spec.tasks - have : 1;
+    missing = std::min(missing, allowed_there - free_there);
     const uint32_t n = (missing + d.slots - 1) / d.slots;
     const double cost = n * d.slots * d.price;
     if (best && cost >= lowest) continue;
--- a/src/dunlinknot/scheduler/round.cpp
+++ b/src/dunlinknot/scheduler/round.cpp
@@ -14,14 +14,6 @@
 
 }  // namespace
 
-bool type_allowed(const JobSpec& s, std::string_view type) {
-  return s.types.empty() || std::find(s.types.begin(), s.types.end(), type) != s.types.end();
-}
-
-bool place_allowed(const JobSpec& s, const Offer& o) {
-  return type_allowed(s, o.type) && (!s.zone || *s.zone == o.zone) && (!o.spot || s.spot);
-}
-
 uint32_t tasks_below_limit(const settings::Team& t, const Resources& used, const Resources& need) {
   double n = std::numeric_limits<uint32_t>::max();
   const auto dim = [&](double most, double in_use, double per_task) {
@@ -205,7 +197,7 @@
 }
 
 bool Round::may_go(const Job& j, Slot& s) const {
-  return place_allowed(j.spec(), s.kind->offer) && may_use(j, s);
+  return offer_allowed(j.spec(), s.kind->offer) && may_use(j, s);
 }
 
 uint32_t Round::count_on(const JobSpec& spec, const Slot& s, uint32_t most) const {
@@ -234,16 +226,6 @@
   return s.room.count(spec.need, spec.priority, most);
 }
 
-std::map<std::string, uint32_t> Round::zones_in_use(const Job& j) const {
-  std::map<std::string, uint32_t> zones;
-  for (const Host* h : cluster_.holders(j.spec().id)) {
-    for (const Booking& b : h->bookings) {
-      if (b.task.job == j.spec().id) ++zones[h->zone];
-    }
-  }
-  return zones;
-}
-
 double Round::share_of(const Resources& need, const Resources& size) const {
   double share = 0;
   if (size.cpus > 0) share = std::max(share, need.cpus / size.cpus);
@@ -278,7 +260,7 @@
 std::vector<std::pair<double, Slot*>> Round::ranked(const Job& j, bool coming, Lend lend) {
   std::vector<std::pair<double, Slot*>> out;
   for (auto& [offer, kind] : kinds_) {
-    if (!place_allowed(j.spec(), offer)) continue;
+    if (!offer_allowed(j.spec(), offer)) continue;
     if (!lent(j.spec(), kind.type, lend)) continue;
     for (Slot* s : kind.slots(coming)) {
       if (!j.spec().need.fits_in(s->room.free()) || !may_use(j, *s)) continue;
@@ -290,23 +272,6 @@
   return out;
 }
 
-uint32_t Round::zone_allows(const JobSpec& spec, const std::map<std::string, uint32_t>& zones,
-                            const std::string& zone) {
-  uint32_t n = std::numeric_limits<uint32_t>::max();
-  if (spec.one_zone) {
-    for (const auto& [z, used] : zones) {
-      if (used > 0 && z != zone) return 0;
-    }
-  }
-  if (spec.spread) {
-    const uint32_t most = (spec.tasks + 1) / 2;
-    const auto it = zones.find(zone);
-    const uint32_t used = it == zones.end() ? 0 : it->second;
-    n = std::min(n, used >= most ? 0 : most - used);
-  }
-  return n;
-}
-
 void Round::put(const Job& j, Slot& s, uint32_t n, std::vector<uint64_t> ends) {
   s.room.take(j.spec().need * n);
   usage_[static_cast<size_t>(j.team())] += j.spec().need * n;
--- a/src/dunlinknot/scheduler/round.hpp
+++ b/src/dunlinknot/scheduler/round.hpp
@@ -18,15 +18,16 @@
 using cluster::Cluster;
 using cluster::Host;
 using cluster::Job;
+using cluster::PlacementConstraints;
 using preemption::Room;
 
 inline constexpr Seconds kNoDeadline{600};
 inline constexpr Seconds kRoomTakes{75};  // a boot and a fetch, or work there coming to its end
 
-// Whether the job may run on machines of this type.
-bool type_allowed(const JobSpec& s, std::string_view type);
-// Whether the job may run on machines of this type, in this zone, spot or not.
-bool place_allowed(const JobSpec& s, const Offer& o);
+// Whether the job may run on such machines, wherever its other tasks are.
+inline bool offer_allowed(const JobSpec& s, const Offer& o) {
+  return cluster::kind_allowed(s, o.type, o.zone, o.spot);
+}
 // The room that a team has left below its limit, in tasks of this size.
 uint32_t tasks_below_limit(const settings::Team& t, const Resources& used, const Resources& need);
 
@@ -184,9 +185,20 @@
 
   cluster::Turn absolute(cluster::Turn t) const;
 
-  // The preemptor tries its held room before anything else. Used nominations are taken out of
-  // `own`.
-  uint32_t place_nominated(const Job& j, uint32_t want, std::vector<uint64_t>& own);
+  // The preemptor tries its held room before anything else, where the job's constraints still
+  // allow that. Used nominations are taken out of `own`.
+  uint32_t place_nominated(const Job& j, uint32_t want, std::vector<uint64_t>& own,
+                           PlacementConstraints& constraints);
+
+  // The zone of the machine that a nomination names; empty when that machine is gone.
+  std::string_view zone_of(uint64_t nomination) const;
+
+  // Ends a nomination that is of no use any more: its room is let go.
+  void clear_nomination(uint64_t nomination);
+
+  // Clears the nominations that `constraints` no longer allow beside the others; adds those that
+  // remain to it, as promises.
+  void promise_nominated(std::vector<uint64_t>& own, PlacementConstraints& constraints);
 
   // Only nominations are looked up, and they are few: no index over all machines is kept for them.
   Slot* slot_of(const std::string& host);
@@ -202,9 +214,6 @@
   // after.
   uint32_t count_on(const JobSpec& spec, const Slot& s, uint32_t most) const;
 
-  // How many tasks of the job are in each zone, counting every booking (safety 4).
-  std::map<std::string, uint32_t> zones_in_use(const Job& j) const;
-
   // The rent per hour of what the task takes of the machine, as the machine's dearest part.
   double share_of(const Resources& need, const Resources& size) const;
 
@@ -214,18 +223,16 @@
   std::vector<std::pair<double, Slot*>> ranked(const Job& j, bool coming, Lend lend = Lend::any);
 
   // On machines that are there, where it costs no more than `most`.
-  uint32_t place_array(const Waiting& w, uint32_t want, std::vector<uint64_t>& own,
+  uint32_t place_array(const Waiting& w, uint32_t want, PlacementConstraints& constraints,
                        double most = std::numeric_limits<double>::max());
 
   // How often a place on such a machine can be used before the job is due.
   double turns(const Waiting& w, const MachineType& t, double up_in) const;
 
   // Machines that are not up yet: kept in mind for this round, so that not every round rents anew
-  // for the same work. A place there serves as many tasks as it has time for.
-  uint32_t place_coming(const Waiting& w, uint32_t want);
-
-  static uint32_t zone_allows(const JobSpec& spec, const std::map<std::string, uint32_t>& zones,
-                              const std::string& zone);
+  // for the same work. A place there serves as many tasks as it has time for. What is counted on
+  // is added to `expected`.
+  uint32_t place_coming(const Waiting& w, uint32_t want, PlacementConstraints& expected);
 
   void put(const Job& j, Slot& s, uint32_t n, std::vector<uint64_t> ends);
 
@@ -243,14 +250,15 @@
     const MachineType* type = nullptr;
   };
 
-  std::vector<Deal> deals(const JobSpec& spec) const;
+  // The offers that may be rented for a job, in zones where it may have further tasks.
+  std::vector<Deal> deals(const JobSpec& spec, const PlacementConstraints& constraints) const;
 
   bool fleet_full() const { return market_.machines + requested_ >= op_.max_machines; }
 
   Slot& request_machine(const Offer& offer, const std::string& job);
 
   // Rents for what is left of an array; returns how many tasks that provides for.
-  uint32_t rent_array(const Waiting& w, uint32_t open);
+  uint32_t rent_array(const Waiting& w, uint32_t open, const PlacementConstraints& expected);
 
   // Where what is missing costs least; false when there is nothing to rent.
   bool rent_gang(const Waiting& w, Lend lend);
@@ -258,6 +266,14 @@
   // Seconds until the task ends, as its owner reckons; what runs over may end at any time.
   double ends_in(const Booking& b) const;
 
+  struct Place {
+    double in = 0;  // seconds until a task has room there, by the estimates
+    Slot* slot = nullptr;
+  };
+  // A place for each of the gang's tasks, the soonest that its constraints allow; none when there
+  // are too few.
+  std::vector<Place> soonest_places(const Job& j, std::vector<Place> places) const;
+
   // No room and nothing to rent: gangs do not evict, so the room that others leave is kept for this
   // one where it will be enough first. Else single tasks take it piece by piece, and the larger the
   // gang the longer it waits.
@@ -265,9 +281,11 @@
   bool keep_for_gang(const Job& j, Lend lend, double most = std::numeric_limits<double>::max());
 
   // --- preemption: only when nothing can be rented, one machine, never by or of gangs
-  void preempt(const Waiting& w, std::vector<uint64_t>& own, uint32_t open);
+  // `promised`: what the job holds and is promised; each eviction adds to it.
+  void preempt(const Waiting& w, const std::vector<uint64_t>& own, uint32_t open,
+               PlacementConstraints& promised);
 
-  bool evict_for(const Waiting& w, uint64_t renews);
+  bool evict_for(const Waiting& w, uint64_t renews, PlacementConstraints& promised);
 
   // The ranking of machines is ours: the lowest highest victim, the least work lost (with the fetch
   // that the preemptor would wait for), the fewest victims.
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -402,7 +402,7 @@
   const uint64_t attempt = c.next_attempt();
   for (const char* vm : {"vm-1", "vm-2"}) {
     send(report(vm));
-    Booking& b = c.book(*c.host(vm), j, *j.take_pending(), attempt, now);
+    Booking& b = *c.book(*c.host(vm), j, *j.take_pending(), attempt, now);
     b.phase = Phase::seen;
     b.state = TaskState::running;
   }
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -51,7 +51,7 @@
     return *c.job(id);
   }
   Booking& run(Job& j, Host& h) {
-    Booking& b = c.book(h, j, *j.take_pending(), c.next_attempt(), now);
+    Booking& b = *c.book(h, j, *j.take_pending(), c.next_attempt(), now);
     b.phase = Phase::seen;
     b.state = TaskState::running;
     b.running_since = now;
@@ -292,7 +292,7 @@
   // it.
   Host& h = *c.host("vm-1");
   Job& low = add("run-000001", Priority::low, 8);
-  const Booking b = c.book(h, low, *low.take_pending(), c.next_attempt(), now);
+  const Booking b = *c.book(h, low, *low.take_pending(), c.next_attempt(), now);
   const auto effects = c.preempt(h, b.task, b.attempt, now);
   EXPECT_TRUE(effects.schedule);
   EXPECT_TRUE(h.bookings.empty());
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -63,7 +63,7 @@
     return *c.job(id);
   }
   void run(Job& j, Host& h, uint64_t attempt = 0) {
-    Booking& b = c.book(h, j, *j.take_pending(), attempt ? attempt : c.next_attempt(), now);
+    Booking& b = *c.book(h, j, *j.take_pending(), attempt ? attempt : c.next_attempt(), now);
     b.phase = Phase::seen;
     b.state = TaskState::running;
   }
