--- a/src/dunlinknot/preemption/nominations.cpp
+++ b/src/dunlinknot/preemption/nominations.cpp
@@ -43,6 +43,7 @@
   if (it == nominations_.end()) return;
   spdlog::debug("nomination {} of {} on {} ends: {}", id, it->second.job, it->second.host,
                 text(why));
+  ++ended_[static_cast<size_t>(why)];
   const auto drop = [id](auto& index, const std::string& key) {
     const auto at = index.find(key);
     std::erase(at->second, id);
--- a/src/dunlinknot/preemption/nominations.hpp
+++ b/src/dunlinknot/preemption/nominations.hpp
@@ -4,6 +4,7 @@
 // A nomination ends on placement, cancellation, renomination or a failed stop call, and by nothing
 // else: there is no timer. The victim list outlives the nomination until its victims are gone.
 #pragma once
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -27,7 +28,8 @@
   auto operator<=>(const Victim&) const = default;
 };
 
-enum class End { placed, cancelled, renominated, stop_failed, cleared };
+enum class End : uint8_t { placed, cancelled, renominated, stop_failed, cleared };
+inline constexpr size_t kEnds = 5;
 
 class Nominations {
  public:
@@ -47,9 +49,13 @@
   const std::vector<uint64_t>& on(const std::string& host) const;
   const std::vector<Victim>* victims_on(const std::string& host) const;
   bool settling(const std::string& host) const { return victims_on(host) != nullptr; }
+  // How many nominations were made, and ended so, since this process began.
+  uint64_t made() const { return next_ - 1; }
+  uint64_t ended(End why) const { return ended_[static_cast<size_t>(why)]; }
 
  private:
   uint64_t next_ = 1;
+  std::array<uint64_t, kEnds> ended_{};
   std::map<uint64_t, Nomination> nominations_;
   std::map<std::string, std::vector<uint64_t>> by_host_;
   std::map<std::string, std::vector<uint64_t>> by_job_;
--- /dev/null
+++ b/tests/placement_constraints_test.cpp
@@ -0,0 +1,182 @@
+// Where the tasks of one job may go, and what happens to bookings that would break that.
+#include "dunlinknot/cluster/placement_constraints.hpp"
+
+#include <limits>
+
+#include "zoned_cluster.hpp"
+
+namespace dunlinknot::cluster {
+namespace {
+
+using test::job;
+
+constexpr uint32_t kAny = std::numeric_limits<uint32_t>::max();
+
+JobSpec zoned(uint32_t tasks, bool one_zone, bool spread) {
+  JobSpec spec = job("run-000001", tasks);
+  spec.one_zone = one_zone;
+  spec.spread = spread;
+  return spec;
+}
+
+TEST(PlacementConstraintsTest, AJobWithoutARuleAboutZonesMayHaveAnyNumberAnywhere) {
+  const JobSpec spec = zoned(4, false, false);
+  PlacementConstraints constraints(spec);
+  constraints.add("a", 4);
+  EXPECT_FALSE(constraints.zone_bound());
+  EXPECT_EQ(constraints.tasks_allowed("a"), kAny);
+  EXPECT_EQ(constraints.tasks_allowed("b"), kAny);
+}
+
+TEST(PlacementConstraintsTest, OneZoneIsTheZoneOfTheTasksThatAreThere) {
+  const JobSpec spec = zoned(4, true, false);
+  PlacementConstraints constraints(spec);
+  EXPECT_EQ(constraints.tasks_allowed("b"), kAny);
+  constraints.add("a", 2);
+  EXPECT_EQ(constraints.tasks_allowed("a"), kAny);
+  EXPECT_EQ(constraints.tasks_allowed("b"), 0u);
+  constraints.remove("a", 1);
+  EXPECT_EQ(constraints.tasks_allowed("b"), 0u);
+  constraints.remove("a", 1);
+  EXPECT_EQ(constraints.tasks_allowed("b"), kAny);
+}
+
+TEST(PlacementConstraintsTest, HalfOfTheTasksRoundedUpMayBeInAZone) {
+  EXPECT_EQ(most_in_one_zone(zoned(9, false, true)), 5u);
+  EXPECT_EQ(most_in_one_zone(zoned(1, false, true)), 1u);
+  const JobSpec spec = zoned(9, false, true);
+  PlacementConstraints constraints(spec);
+  constraints.add("a", 3);
+  EXPECT_EQ(constraints.tasks_allowed("a"), 2u);
+  EXPECT_EQ(constraints.tasks_allowed("b"), 5u);
+  constraints.add("a", 4);  // more than there may be, by a leader of before
+  EXPECT_EQ(constraints.tasks_allowed("a"), 0u);
+}
+
+TEST(PlacementConstraintsTest, BothRulesTogetherLeaveHalfOfTheTasksInOneZone) {
+  const JobSpec spec = zoned(4, true, true);
+  PlacementConstraints constraints(spec);
+  constraints.add("a", 1);
+  EXPECT_EQ(constraints.tasks_allowed("a"), 1u);
+  EXPECT_EQ(constraints.tasks_allowed("b"), 0u);
+}
+
+TEST(PlacementConstraintsTest, TypesZoneAndSpotMachines) {
+  JobSpec spec = job("run-000001");
+  EXPECT_TRUE(kind_allowed(spec, "box", "a", false));
+  EXPECT_FALSE(kind_allowed(spec, "box", "a", true));
+  spec.spot = true;
+  EXPECT_TRUE(kind_allowed(spec, "box", "a", true));
+  spec.types = {"crate", "rig"};
+  EXPECT_FALSE(kind_allowed(spec, "box", "a", false));
+  EXPECT_TRUE(kind_allowed(spec, "rig", "a", false));
+  spec.zone = "b";
+  EXPECT_FALSE(kind_allowed(spec, "rig", "a", false));
+  EXPECT_TRUE(kind_allowed(spec, "rig", "b", false));
+}
+
+struct BookingConstraints : test::ZonedCluster {
+  // A report that lists one task, running, whose booking nobody made.
+  WorkerReport with_orphan(const std::string& id, const std::string& zone, uint32_t index) {
+    WorkerReport out = report(id, zone);
+    out.tasks.push_back({{"run-000001", index}, 77, TaskState::running, ExitCause::none, false});
+    return out;
+  }
+  static bool starts_any(const std::vector<Command>& commands) {
+    return std::any_of(commands.begin(), commands.end(),
+                       [](const Command& c) { return c.op == Command::Op::start; });
+  }
+  static bool stops_any(const std::vector<Command>& commands) {
+    return std::any_of(commands.begin(), commands.end(),
+                       [](const Command& c) { return c.op == Command::Op::stop; });
+  }
+};
+
+TEST_F(BookingConstraints, ABookingInAnotherZoneIsRefusedAndCounted) {
+  Job& j = add(zoned(2, true, false));
+  book(j, machine("vm-1", "a"));
+  Host& other = machine("vm-2", "b");
+  EXPECT_EQ(cluster.book(other, j, *j.take_pending(), cluster.next_attempt(), now), nullptr);
+  EXPECT_TRUE(other.bookings.empty());
+  EXPECT_EQ(cluster.refused_bookings(), 1u);
+  EXPECT_EQ(j.pending(), 1u);
+  EXPECT_EQ(j.take_pending(), 1u) << "it can be booked elsewhere";
+}
+
+TEST_F(BookingConstraints, ABookingAheadInAnotherZoneIsRefused) {
+  Job& j = add(zoned(2, true, false));
+  book(j, machine("vm-1", "a"));
+  Host& other = machine("vm-2", "b");
+  EXPECT_EQ(cluster.book_ahead(other, j, *j.take_pending(), cluster.next_attempt(), {}, now),
+            nullptr);
+  EXPECT_EQ(cluster.refused_bookings(), 1u);
+}
+
+TEST_F(BookingConstraints, ABookingOnAKindOfMachineThatIsNotAllowedIsRefused) {
+  JobSpec spec = zoned(1, false, false);
+  spec.types = {"crate"};
+  Job& j = add(spec);
+  EXPECT_EQ(cluster.book(machine("vm-1", "a"), j, *j.take_pending(), 1, now), nullptr);
+  EXPECT_EQ(cluster.refused_bookings(), 1u);
+}
+
+// A booking stands and is about to be sent when a task of the job turns up in another zone.
+TEST_F(BookingConstraints, WhatMayNotStartBesideAnOrphanIsUndone) {
+  Job& j = add(zoned(2, true, false));
+  book(j, machine("vm-1", "a"));
+  EXPECT_FALSE(stops_any(send(with_orphan("vm-2", "b", 1)))) << "it is there, and may stay";
+  EXPECT_FALSE(starts_any(send(report("vm-1", "a"))));
+  EXPECT_TRUE(cluster.host("vm-1")->bookings.empty());
+  EXPECT_EQ(j.pending(), 1u);
+}
+
+TEST_F(BookingConstraints, WhatMayStartBesideAnOrphanStays) {
+  Job& j = add(zoned(2, true, false));
+  book(j, machine("vm-1", "a"));
+  send(with_orphan("vm-2", "a", 1));
+  EXPECT_TRUE(starts_any(send(report("vm-1", "a"))));
+}
+
+TEST_F(BookingConstraints, TheTaskThatAnOrphanIsDoesNotStartElsewhere) {
+  Job& j = add(zoned(1, false, false));
+  book(j, machine("vm-1", "a"));
+  EXPECT_TRUE(stops_any(send(with_orphan("vm-2", "a", 0))));
+  EXPECT_FALSE(starts_any(send(report("vm-1", "a")))) << "not before the orphan is gone";
+}
+
+TEST_F(BookingConstraints, AnOrphanInAnotherZoneThanTheJobsTasksIsStopped) {
+  Job& j = add(zoned(2, true, false));
+  run(j, machine("vm-1", "a"));
+  EXPECT_TRUE(stops_any(send(with_orphan("vm-2", "b", 1))));
+}
+
+TEST_F(BookingConstraints, AnOrphanOfAGangBreaksTheAttemptThatIsAboutToStart) {
+  JobSpec gang = zoned(2, true, false);
+  gang.gang = true;
+  Job& j = add(gang);
+  const uint64_t attempt = cluster.next_attempt();
+  Host& a = machine("vm-1", "a");
+  book(j, a, attempt);
+  book(j, a, attempt);
+  ASSERT_TRUE(j.gang_go);
+  EXPECT_TRUE(stops_any(send(with_orphan("vm-2", "b", 1))));
+  EXPECT_FALSE(starts_any(send(report("vm-1", "a"))));
+  EXPECT_TRUE(j.any_live()) << "no attempt begins while the orphan is there";
+  send(report("vm-2", "b"));
+  EXPECT_FALSE(j.any_live());
+}
+
+TEST_F(BookingConstraints, BookingsThatAreOlderThanTheRecordOfTheirJobCount) {
+  send(with_orphan("vm-2", "b", 1));
+  JobSpec gang = zoned(2, true, false);
+  gang.gang = true;
+  const Job& j = add(gang);
+  EXPECT_TRUE(j.any_live());
+  machine("vm-1", "a");
+  EXPECT_TRUE(plan().gangs.empty());
+  send(report("vm-2", "b"));
+  EXPECT_EQ(plan().gangs.size(), 1u);
+}
+
+}  // namespace
+}  // namespace dunlinknot::cluster
--- /dev/null
+++ b/tests/random_placements_test.cpp
@@ -0,0 +1,103 @@
+// Random scenarios in which room has to be made: scarce machines in three uneven zones, several
+// priorities, jobs bound to zones, types and kinds of machines, and troubles while victims leave.
+#include "random_scenario.hpp"
+
+namespace dunlinknot::test {
+namespace {
+
+class ScarceMachines : public RandomScenario {
+ public:
+  using RandomScenario::RandomScenario;
+  size_t zone_bound_jobs = 0;
+
+  // Nominations over all processes of all controllers, those that crashed too.
+  struct Preemptions {
+    uint64_t made = 0, used = 0, cleared = 0, refused_bookings = 0;
+  };
+  Preemptions preemptions() {
+    Preemptions sum;
+    for (const auto* processes : {&s.nodes, &s.graveyard}) {
+      for (const auto& n : *processes) {
+        n->daemon->context().leader_state.with([&](cluster::LeaderState& state) {
+          sum.made += state.nominations.made();
+          sum.used += state.nominations.ended(preemption::End::placed);
+          sum.cleared += state.nominations.ended(preemption::End::cleared);
+          sum.refused_bookings += state.cluster.refused_bookings();
+        });
+      }
+    }
+    return sum;
+  }
+
+ protected:
+  void prepare() override {
+    s.cloud.types[0].zones = {"a", "b", "c"};
+    s.cloud.capacity = {{"box/a/ordinary", 2},
+                        {"box/b/ordinary", 2},
+                        {"box/c/ordinary", 1},
+                        {"box/b/spot", 1},
+                        {"crate/a/ordinary", 1}};
+  }
+  size_t job_count() const override { return 14; }
+  Nanos duration() const override { return seconds(700); }
+  // Up to some seconds, so that much may happen between a `run` and the task's start.
+  std::function<Nanos(const TaskRef&)> fetch_time() override {
+    return [](const TaskRef& task) {
+      return Nanos(Millis(500 * (std::hash<std::string>{}(task.text()) % 16)));
+    };
+  }
+
+  JobSpec draw_job(size_t n) override {
+    JobSpec j = job("run-0000" + std::to_string(10 + n), static_cast<uint32_t>(1 + pick(9)));
+    j.priority = std::vector<Priority>{Priority::low, Priority::normal, Priority::high,
+                                       Priority::production}[pick(4)];
+    j.team = std::vector<std::string>{"red", "red", "blue", "tiny"}[pick(4)];
+    if (chance(0.06) && j.team != "tiny") {
+      j.tasks = static_cast<uint32_t>(100 + pick(50));
+      j.need.cpus = 0.5;
+      j.need.memory_gb = 0.5;
+    }
+    if (chance(0.3)) j.checkpoint = Seconds(5), j.save = Seconds(1);
+    j.gang = chance(0.25);
+    if (j.gang) j.tasks = static_cast<uint32_t>(1 + pick(j.team == "tiny" ? 2 : 5));
+    const size_t zone_rule = pick(10);
+    j.one_zone = zone_rule < 4;
+    j.spread = zone_rule >= 4 && zone_rule < 8;
+    if (j.one_zone || j.spread) ++zone_bound_jobs;
+    if (!j.gang && chance(0.15)) j.zone = std::vector<std::string>{"a", "b", "c"}[pick(3)];
+    if (!j.gang && !j.zone && chance(0.15)) j.types = {chance(0.5) ? "box" : "crate"};
+    j.spot = chance(0.5);
+    return j;
+  }
+};
+
+class RandomPlacements : public testing::TestWithParam<uint32_t> {};
+
+TEST_P(RandomPlacements, BreakNoRule) {
+  constexpr uint32_t kScenarios = 10;
+  ScarceMachines::Preemptions sum;
+  size_t zone_bound_jobs = 0;
+  for (uint32_t k = 0; k < kScenarios; ++k) {
+    const uint32_t seed = GetParam() * kScenarios + k;
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    ScarceMachines scenario(seed);
+    scenario.play();
+    const auto p = scenario.preemptions();
+    sum.made += p.made;
+    sum.used += p.used;
+    sum.cleared += p.cleared;
+    sum.refused_bookings += p.refused_bookings;
+    zone_bound_jobs += scenario.zone_bound_jobs;
+  }
+  EXPECT_EQ(sum.refused_bookings, 0u) << "a plan broke its job's constraints";
+  // A generator that evicts nobody would show nothing.
+  EXPECT_GT(sum.made, kScenarios);
+  EXPECT_GT(sum.used, kScenarios / 2);
+  EXPECT_GT(sum.cleared, 0u);
+  EXPECT_GT(zone_bound_jobs, kScenarios * 5);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomPlacements, testing::Range(1u, 13u));
+
+}  // namespace
+}  // namespace dunlinknot::test
--- /dev/null
+++ b/tests/random_scenario.hpp
@@ -0,0 +1,262 @@
+// Random jobs, users and troubles over a whole site, watched by the checker of rules.hpp.
+#pragma once
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "support.hpp"
+
+namespace dunlinknot::test {
+
+// Two or three troubles at random times over a few jobs and users who poll, repeat and cancel. The
+// rules hold throughout; with the troubles over, every accepted job that was not cancelled is done.
+class RandomScenario {
+ public:
+  explicit RandomScenario(uint32_t seed) : rng(seed) {}
+  virtual ~RandomScenario() = default;
+  RandomScenario(const RandomScenario&) = delete;
+  RandomScenario& operator=(const RandomScenario&) = delete;
+
+  // Fails the test that calls it with every rule that was broken and every job that was left.
+  void play();
+  Site s{3};
+
+ protected:
+  using Rng = std::mt19937;
+  double draw(double a, double b) { return std::uniform_real_distribution<double>(a, b)(rng); }
+  size_t pick(size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(rng); }
+  bool chance(double p) { return draw(0, 1) < p; }
+  Nanos in(double a, double b) { return to_nanos(Seconds(draw(a, b))); }
+
+  // What the cloud has, and which jobs come.
+  virtual void prepare() {
+    s.cloud.capacity = {{"box/a/ordinary", 3}, {"box/b/ordinary", 2}, {"box/a/spot", 2}};
+  }
+  virtual size_t job_count() const { return 9; }
+  virtual Nanos duration() const { return seconds(400); }
+  virtual std::function<Nanos(const TaskRef&)> fetch_time() { return nullptr; }
+  virtual JobSpec draw_job(size_t n) {
+    JobSpec j = job("run-0000" + std::to_string(10 + n), static_cast<uint32_t>(1 + pick(6)));
+    j.team = std::vector<std::string>{"red", "blue", "tiny"}[pick(3)];
+    if (chance(0.3)) j.checkpoint = Seconds(5), j.save = Seconds(1);
+    if (chance(0.25)) {
+      j.gang = true;
+      j.tasks = 2;
+    }
+    j.one_zone = chance(0.4);
+    if (chance(0.2)) j.zone = chance(0.5) ? "a" : "b";
+    j.spot = chance(0.5);
+    return j;
+  }
+
+  Task<void> user(JobSpec j, Nanos begins, std::optional<Nanos> cancels) {
+    co_await s.loop.sleep(begins);
+    wire::Writer w;
+    wire::write_job(w, j);
+    const std::string body = w.take();
+    for (int k = 0; k < 40 && !s.rules.was_accepted(j.id); ++k) {
+      (void)co_await s.request(pick(3), "POST", "/v1/jobs", body);
+      co_await s.loop.sleep(in(1, 2));
+    }
+    const Instant cancel_at = cancels ? s.loop.now() + *cancels : Instant::max();
+    bool cancelled = false;
+    for (;;) {
+      if (!cancelled && s.loop.now() >= cancel_at) {
+        const auto r = co_await s.request(pick(3), "POST", "/v1/jobs/" + j.id + "/withdraw");
+        cancelled = r.status == 200;
+        co_await s.loop.sleep(in(0.5, 1.5));
+        continue;
+      }
+      if (chance(0.1)) (void)co_await s.request(pick(3), "POST", "/v1/jobs", body);
+      (void)co_await s.request(pick(3), "GET", "/v1/jobs/" + j.id);
+      co_await s.loop.sleep(in(1, 4));
+    }
+  }
+
+  // Copies of reports that arrive again, at any node, from two seconds to well over a lease late.
+  Task<void> copy_later(std::string body) {
+    co_await s.loop.sleep(in(2, 40));
+    http::Request r;
+    r.method = "POST";
+    r.target = "/agent/beat";
+    r.body = std::move(body);
+    (void)co_await s.handle(pick(3), std::move(r));
+  }
+
+  // The state service is out for all, and often again a moment after it is back.
+  Task<void> outages() {
+    s.state.outage = true;
+    co_await s.loop.sleep(in(1, 50));
+    s.state.end_outage();
+    for (auto& n : s.nodes) n->refused_by_state = false;
+    if (chance(0.5)) co_return;
+    co_await s.loop.sleep(in(0.2, 1.5));
+    s.state.outage = true;
+    co_await s.loop.sleep(in(1, 20));
+    s.state.end_outage();
+  }
+
+  Task<void> cut_from_state_and_peers(size_t node) {
+    s.nodes[node]->cut_from_state = s.nodes[node]->cut_from_peers = true;
+    co_await s.loop.sleep(in(2, 40));
+    s.nodes[node]->cut_from_state = s.nodes[node]->cut_from_peers = false;
+  }
+
+  Task<void> leaders_change_again_and_again() {
+    for (size_t k = 0; k < 8; ++k) {
+      s.restart(s.leader().value_or(pick(3)));
+      co_await s.loop.sleep(in(0.2, 8));
+    }
+  }
+
+  // Also for longer than a lease.
+  Task<void> all_controllers_away() {
+    for (size_t i = 0; i < 3; ++i) s.crash(i);
+    co_await s.loop.sleep(in(0.2, 25));
+    for (size_t i = 0; i < 3; ++i) s.restart(i);
+  }
+
+  // Transactions without an answer are carried out late.
+  Task<void> late_transactions() {
+    const Instant until = s.loop.now() + in(5, 30);
+    while (s.loop.now() < until) {
+      s.state.late_by = in(2, 12);
+      s.state.fate = [this](const http::Call& c) {
+        return c.target == "/multi" && chance(0.3) ? Fate::apply_late : Fate::normal;
+      };
+      co_await s.loop.sleep(in(0.5, 2));
+    }
+    s.state.fate = nullptr;
+  }
+
+  using Flags = std::vector<bool Worker::*>;
+  Task<void> set_for_a_while(const std::vector<Worker*>& some, const Flags& flags) {
+    const auto set = [&](bool on) {
+      for (Worker* w : some) {
+        for (const auto flag : flags) w->*flag = on;
+      }
+    };
+    set(true);
+    co_await s.loop.sleep(in(1, 30));
+    set(false);
+  }
+
+  Task<void> reach_one_controller_alone(const std::vector<Worker*>& some, size_t controller) {
+    for (Worker* w : some) {
+      for (size_t i = 0; i < 3; ++i) {
+        if (i != controller) s.cut.insert({i, w->id});
+      }
+    }
+    co_await s.loop.sleep(in(2, 30));
+    s.cut.clear();
+  }
+
+  Task<void> late_copies_of_reports() {
+    for (int k = 0; k < 30; ++k) {
+      for (auto& [id, w] : s.workers) {
+        if (w->on && !w->hung && chance(0.3)) {
+          s.loop.spawn(copy_later(wire::write_report(w->report())));
+        }
+      }
+      co_await s.loop.sleep(in(0.3, 1));
+    }
+  }
+
+  Task<void> trouble(Nanos begins) {
+    co_await s.loop.sleep(begins);
+    const size_t leader = s.leader().value_or(pick(3));
+    const size_t node = chance(0.7) ? leader : pick(3);
+    std::vector<Worker*> some;
+    for (auto& [id, w] : s.workers) {
+      if (w->on && chance(0.4)) some.push_back(w.get());
+    }
+    const Flags hung = {&Worker::hung}, mute = {&Worker::mute}, cut_off = {&Worker::cut};
+    const Flags unreachable = {&Worker::drop_responses, &Worker::refuse_direct};
+    const size_t kind = pick(13);
+    log += " " + std::to_string(kind) + "@" +
+           std::to_string(to_seconds(s.loop.now().time_since_epoch()).count() - 1000);
+    switch (kind) {
+      case 0:  // the state service refuses the leader alone, and a moment later it is out for all
+        s.nodes[leader]->refused_by_state = true;
+        co_await s.loop.sleep(in(0.1, 3));
+        co_await outages();
+        break;
+      case 1:
+        co_await outages();
+        break;
+      case 2:
+        co_await cut_from_state_and_peers(node);
+        break;
+      case 3:
+        s.restart(node);
+        break;
+      case 4:
+        co_await leaders_change_again_and_again();
+        break;
+      case 5:
+        co_await all_controllers_away();
+        break;
+      case 6:
+        co_await late_transactions();
+        break;
+      case 7:  // with commands in their sockets
+        co_await set_for_a_while(some, hung);
+        break;
+      case 8:  // they hear no answers and no commands
+        co_await set_for_a_while(some, unreachable);
+        break;
+      case 9:
+        co_await set_for_a_while(some, mute);
+        break;
+      case 10:
+        co_await set_for_a_while(some, cut_off);
+        break;
+      case 11:
+        co_await reach_one_controller_alone(some, leader);
+        break;
+      default:
+        co_await late_copies_of_reports();
+        break;
+    }
+  }
+
+  Rng rng;
+  std::string log;
+};
+
+inline void RandomScenario::play() {
+  prepare();
+  s.run_for(seconds(2));
+  std::vector<std::string> kept;
+  for (size_t n = 0; n < job_count(); ++n) {
+    const JobSpec j = draw_job(n);
+    s.specs[j.id] = j;
+    s.rules.submitted(j);
+    std::optional<Nanos> cancels;
+    if (chance(0.4)) {
+      cancels = in(0, 70);
+    } else {
+      kept.push_back(j.id);
+    }
+    s.loop.spawn(user(j, in(0, 30), cancels));
+  }
+  const uint32_t salt = static_cast<uint32_t>(pick(1000));
+  const auto run_time = [salt](const TaskRef& t) {
+    const size_t h = std::hash<std::string>{}(t.text()) + salt;
+    return Nanos(seconds(h % 5 == 0 ? 60 : 3 + h % 17));
+  };
+  s.on_worker = [this, run_time](Worker& w) {
+    w.run_time = run_time;
+    w.fetch_time = fetch_time();
+  };
+  const size_t troubles = 2 + pick(2);
+  for (size_t k = 0; k < troubles; ++k) s.loop.spawn(trouble(in(8, 60)));
+  s.run_for(duration());
+  for (const auto& b : s.rules.broken()) ADD_FAILURE() << b << "; troubles:" << log;
+  for (const auto& id : kept) {
+    if (!s.rules.was_accepted(id)) continue;
+    EXPECT_EQ(s.standing(id, pick(3)), "done") << id << "; troubles:" << log;
+  }
+}
+
+}  // namespace dunlinknot::test
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -259,7 +259,8 @@
   for (const auto& [id, w] : workers) {
     if (!w->on) continue;
     for (const auto& [key, running] : w->tasks) {
-      if (key.first == t && running.state != TaskState::exited) ++n;
+      const bool there = running.state != TaskState::exited && running.state != TaskState::fetching;
+      if (key.first == t && there) ++n;
     }
   }
   return n;
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -182,8 +182,9 @@
   bool refuse_direct = false;
   bool mute = false;  // reaches no controller; direct commands reach it
   bool hung = false;  // executes nothing, and may go on; direct commands wait for it
-  std::function<Nanos(const TaskRef&)> run_time;  // default 5 s
-  std::function<bool(const TaskRef&)> fails;      // default never
+  std::function<Nanos(const TaskRef&)> run_time;    // default 5 s
+  std::function<Nanos(const TaskRef&)> fetch_time;  // of its image, default none
+  std::function<bool(const TaskRef&)> fails;        // default never
   std::map<std::string, JobSpec>* specs = nullptr;
   std::optional<Seconds> notice;
   std::map<std::pair<TaskRef, uint64_t>, Running> tasks;
@@ -196,6 +197,7 @@
 
  private:
   void advance();
+  void begin(Running& r);
   void end(Running& r, ExitCause cause);
   void end_all();
   http::Reply execute(const std::string& body);
--- a/tests/worker.cpp
+++ b/tests/worker.cpp
@@ -37,6 +37,14 @@
   return b;
 }
 
+// The image is there: the task is on the machine from now on.
+void Worker::begin(Running& r) {
+  started.emplace_back(r.task, r.attempt);
+  if (on_start) on_start(r.task);
+  r.state = TaskState::running;
+  r.ends = loop_.now() + (run_time ? run_time(r.task) : Nanos(seconds(5)));
+}
+
 void Worker::end(Running& r, ExitCause cause) {
   if (on_end) on_end(Running{r.task, r.attempt, r.state, cause, r.saved, r.since, r.ends});
   r.state = TaskState::exited;
@@ -45,6 +53,7 @@
 
 void Worker::advance() {
   for (auto& [key, t] : tasks) {
+    if (t.state == TaskState::fetching && loop_.now() >= t.ends) begin(t);
     if (t.state == TaskState::running && loop_.now() >= t.ends) {
       end(t, fails && fails(t.task) ? ExitCause::error : ExitCause::done);
     } else if (t.state == TaskState::saving && loop_.now() >= t.ends) {
@@ -83,23 +92,16 @@
     const auto it = tasks.find(key);
     if (verb == "run") {
       if (it != tasks.end()) continue;
-      Running r{task,
-                attempt,
-                TaskState::running,
-                ExitCause::none,
-                false,
-                loop_.now(),
-                loop_.now() + (run_time ? run_time(task) : Nanos(seconds(5)))};
+      const Nanos fetch = fetch_time ? fetch_time(task) : Nanos(0);
+      Running r{task,  attempt,     TaskState::fetching, ExitCause::none,
+                false, loop_.now(), loop_.now() + fetch};
       for (const auto& [k, t] : tasks) {
         if (k.first == task && t.state != TaskState::exited) {
           r.state = TaskState::exited;
           r.cause = ExitCause::busy;
         }
       }
-      if (r.state == TaskState::running) {
-        started.emplace_back(task, attempt);
-        if (on_start) on_start(task);
-      }
+      if (r.state == TaskState::fetching && fetch == Nanos(0)) begin(r);
       tasks[key] = r;
     } else if (verb == "stop" && it != tasks.end() && it->second.state != TaskState::exited) {
       const double grace = *o["windDownS"].amount();
--- a/tests/zone_constraints_test.cpp
+++ b/tests/zone_constraints_test.cpp
@@ -1,56 +1,17 @@
 // Jobs whose tasks belong into one zone, or at most half of them into each: every way in which the
 // scheduler places a task keeps to that, given what the job holds, is given in the round and is
 // promised by nominations.
-#include <gtest/gtest.h>
-
-#include "dunlinknot/scheduler/scheduler.hpp"
-#include "support.hpp"
+#include "zoned_cluster.hpp"
 
 namespace dunlinknot::scheduler {
 namespace {
 
 using cluster::Booking;
-using cluster::Cluster;
-using cluster::Effects;
 using cluster::Host;
 using cluster::Job;
-using cluster::Phase;
-using std::chrono::seconds;
 using test::job;
 
-// Machines of 8 cpus in the zones a and b, none to be rented.
-struct ZoneConstraints : testing::Test {
-  ZoneConstraints() {
-    MachineType box;
-    box.name = "box";
-    box.size = {8, 0, 32};
-    box.zones = {"a", "b"};
-    box.price = 1;
-    box.spot_price = 1;
-    cluster.begin_term(1, now);
-    cluster.set_catalog({box});
-    for (const char* zone : {"a", "b"}) {
-      for (const bool spot : {false, true}) market.refused.insert({"box", zone, spot});
-    }
-  }
-  Host& machine(const std::string& id, const std::string& zone) {
-    WorkerReport report;
-    report.machine = id;
-    report.address = "10.0.0.1:9000";
-    report.type = "box";
-    report.zone = zone;
-    report.session = 1;
-    report.seq = ++sequence;
-    report.token = 1;
-    Effects effects;
-    cluster.on_report(report, now, false, effects);
-    return *cluster.host(id);
-  }
-  Job& add(JobSpec spec) {
-    const std::string id = spec.id;
-    cluster.load_job({std::move(spec), wall}, 10, now);
-    return *cluster.job(id);
-  }
+struct ZoneConstraints : test::ZonedCluster {
   // A job of high priority whose tasks take half of a machine each.
   Job& add_preemptor(uint32_t tasks, bool one_zone, bool spread) {
     JobSpec spec = job("run-000002", tasks);
@@ -60,12 +21,6 @@
     spec.spread = spread;
     return add(spec);
   }
-  void run(Job& j, Host& host) {
-    Booking& booking = *cluster.book(host, j, *j.take_pending(), cluster.next_attempt(), now);
-    booking.phase = Phase::seen;
-    booking.state = TaskState::running;
-    booking.running_since = now;
-  }
   // Fills the machine with one task of low priority.
   void fill(Host& host) {
     JobSpec spec = job("run-0001" + std::to_string(10 + fillers++));
@@ -77,9 +32,6 @@
   uint64_t nominate(const Job& j, const Host& host) {
     return nominations.add(j.spec().id, host.id, j.spec().need, j.spec().priority, {});
   }
-  Plan plan() {
-    return scheduler::plan(cluster, nominations, market, platform, op, wall + Millis(100), now);
-  }
   // How many tasks the plan places in each zone.
   std::map<std::string, uint32_t> placed_by_zone(const Plan& p) {
     std::map<std::string, uint32_t> zones;
@@ -91,16 +43,7 @@
     for (const auto& e : p.evictions) ++zones[cluster.host(e.host)->zone];
     return zones;
   }
-  using Zones = std::map<std::string, uint32_t>;
 
-  settings::Platform platform = test::Site::platform(0, 1);
-  settings::Operator op;
-  Cluster cluster{platform, op};
-  preemption::Nominations nominations;
-  Market market;
-  Instant now{seconds(100)};
-  WallTime wall{Millis(1'000'000)};
-  uint64_t sequence = 1;
   int fillers = 0;
 };
 
--- /dev/null
+++ b/tests/zoned_cluster.hpp
@@ -0,0 +1,83 @@
+// A cluster of equal machines in two zones, none of them to be rented, for tests of where the tasks
+// of a job may go.
+#pragma once
+#include <gtest/gtest.h>
+
+#include "dunlinknot/cluster/leader_context.hpp"
+#include "dunlinknot/scheduler/scheduler.hpp"
+#include "support.hpp"
+
+namespace dunlinknot::test {
+
+struct ZonedCluster : testing::Test {
+  using Zones = std::map<std::string, uint32_t>;
+
+  ZonedCluster() {
+    MachineType box;
+    box.name = "box";
+    box.size = {8, 0, 32};
+    box.zones = {"a", "b"};
+    box.price = 1;
+    box.spot_price = 1;
+    box.boot = Seconds(20);
+    cluster.begin_term(1, now);
+    cluster.set_catalog({box});
+    for (const char* zone : {"a", "b"}) {
+      for (const bool spot : {false, true}) market.refused.insert({"box", zone, spot});
+    }
+  }
+  WorkerReport report(const std::string& id, const std::string& zone) {
+    WorkerReport out;
+    out.machine = id;
+    out.address = "10.0.0.1:9000";
+    out.type = "box";
+    out.zone = zone;
+    out.session = 1;
+    out.seq = ++sequence;
+    out.token = 1;
+    return out;
+  }
+  std::vector<Command> send(const WorkerReport& r) {
+    cluster::Effects effects;
+    return cluster.on_report(r, now, true, effects).commands;
+  }
+  cluster::Host& machine(const std::string& id, const std::string& zone) {
+    send(report(id, zone));
+    return *cluster.host(id);
+  }
+  cluster::Job& add(JobSpec spec) {
+    const std::string id = spec.id;
+    cluster.load_job({std::move(spec), wall}, 10, now);
+    return *cluster.job(id);
+  }
+  // Books a task of the job there and writes the booking down.
+  cluster::Booking& book(cluster::Job& j, cluster::Host& host, uint64_t attempt = 0) {
+    cluster::Booking* booking = cluster.book(host, j, *j.take_pending(),
+                                             attempt != 0 ? attempt : cluster.next_attempt(), now);
+    cluster::Effects effects;
+    cluster.host_stored(host, cluster.record_of(host), ++stamp, effects);
+    return *booking;
+  }
+  void run(cluster::Job& j, cluster::Host& host) {
+    cluster::Booking& booking = book(j, host);
+    booking.phase = cluster::Phase::seen;
+    booking.state = TaskState::running;
+    booking.running_since = now;
+  }
+  scheduler::Plan plan() {
+    return scheduler::plan(cluster, nominations, market, platform, op, wall + Millis(100), now);
+  }
+
+  settings::Platform platform = Site::platform(0, 1);
+  settings::Operator op;
+  cluster::LeaderState state{platform, op};
+  cluster::Cluster& cluster = state.cluster;
+  preemption::Nominations& nominations = state.nominations;
+  scheduler::Market market;
+  Instant now{seconds(100)};
+  WallTime wall{Millis(1'000'000)};
+  uint64_t sequence = 1;
+  uint64_t stamp = 20;
+};
+
+}  // namespace dunlinknot::test
