A round places no more than a machine's record takes; gangs that no zones can hold are answered 422

Found in the search for decisions that miss what the round itself has placed: may_use asked whether one more task fits into the machine's record, and as many as the machine has room for were then placed there. A record longer than the state service takes is refused each time, so nothing on its machine starts any more. ARoundPlacesNoMoreThanAMachinesRecordTakes fails without the change.

422: a gang of which half may be in one zone, bound to one zone or offered in one only, or that must be in one zone as well. An array like that runs, half of its tasks at a time. AGangThatNoZonesCanHoldIsRefused.

Tests of renting and of kept room for spread jobs.

--- a/src/dunlinknot/jobs/request_handler.cpp
+++ b/src/dunlinknot/jobs/request_handler.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "dunlinknot/cluster/placement_constraints.hpp"
+
 namespace dunlinknot::jobs {
 
 namespace {
@@ -82,18 +84,28 @@
   return r;
 }
 
+std::set<std::string> RequestHandler::zones_with_fitting_types(const JobSpec& spec) const {
+  std::set<std::string> zones;
+  for (const MachineType& t : catalog_) {
+    if (!spec.need.fits_in(t.size)) continue;
+    for (const auto& zone : t.zones) {
+      if (cluster::kind_allowed(spec, t.name, zone, false)) zones.insert(zone);
+    }
+  }
+  return zones;
+}
+
 std::string RequestHandler::never_runs(const JobSpec& spec) const {
   const auto team = std::find_if(platform_.teams.begin(), platform_.teams.end(),
                                  [&](const auto& t) { return t.name == spec.team; });
   if (team == platform_.teams.end()) return "unknown team";
-  const bool fits = std::any_of(catalog_.begin(), catalog_.end(), [&](const MachineType& t) {
-    const bool allowed = spec.types.empty() || std::find(spec.types.begin(), spec.types.end(),
-                                                         t.name) != spec.types.end();
-    const bool there =
-        !spec.zone || std::find(t.zones.begin(), t.zones.end(), *spec.zone) != t.zones.end();
-    return allowed && there && spec.need.fits_in(t.size);
-  });
-  if (!fits) return "a task fits no allowed machine type in an allowed zone";
+  const std::set<std::string> zones = zones_with_fitting_types(spec);
+  if (zones.empty()) return "a task fits no allowed machine type in an allowed zone";
+  // All tasks of a gang run at the same time; those of an array may do so one after the other.
+  const bool divided = spec.gang && cluster::most_in_one_zone(spec) < spec.tasks;
+  if (spec.spread && divided && (spec.one_zone || zones.size() < 2)) {
+    return "a gang of which half may be in one zone has no other zone for the rest";
+  }
   const double n = spec.gang ? spec.tasks : 1;
   const auto over = [](double need, double most) {
     return most > 0 && need > most + Resources::kSlack;
--- a/src/dunlinknot/jobs/request_handler.hpp
+++ b/src/dunlinknot/jobs/request_handler.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 #include "dunlinknot/http/message.hpp"
@@ -71,6 +72,9 @@
   http::Response standing_of(const std::string& id, const Lookup& found, bool with_counts);
   http::Response later(int least_s = 1);
   http::Response refuse(int status, std::string_view why) const;
+  // The zones in which an allowed type of machine is offered that a task fits on.
+  std::set<std::string> zones_with_fitting_types(const JobSpec& spec) const;
+  // Why the job can never run; empty when it can.
   std::string never_runs(const JobSpec& spec) const;
 
   Loop& loop_;
--- a/src/dunlinknot/scheduler/arrays.cpp
+++ b/src/dunlinknot/scheduler/arrays.cpp
@@ -86,7 +86,7 @@
       }
       // Filled up when half is gone, not one by one.
       if (before * 2 > cap || !may_use(*w.job, *s)) continue;
-      const uint32_t k = std::min(n, cap - before);
+      const uint32_t k = std::min({n, cap - before, record_allows(*s)});
       s->ahead += k;
       n -= k;
       take_record(*s, k);
--- a/src/dunlinknot/scheduler/round.cpp
+++ b/src/dunlinknot/scheduler/round.cpp
@@ -200,7 +200,14 @@
   return offer_allowed(j.spec(), s.kind->offer) && may_use(j, s);
 }
 
+uint32_t Round::record_allows(const Slot& s) {
+  if (!s.record_room) return std::numeric_limits<uint32_t>::max();
+  const size_t left = *s.record_room - std::min(*s.record_room, Cluster::kRecordPerJob);
+  return static_cast<uint32_t>(left / Cluster::kRecordPerTask);
+}
+
 uint32_t Round::count_on(const JobSpec& spec, const Slot& s, uint32_t most) const {
+  most = std::min(most, record_allows(s));
   const Resources& free = s.room.free();
   Resources rest = free;
   bool limited = false;
--- a/src/dunlinknot/scheduler/round.hpp
+++ b/src/dunlinknot/scheduler/round.hpp
@@ -208,6 +208,9 @@
 
   bool may_go(const Job& j, Slot& s) const;
 
+  // How many more tasks of one job the machine's record has room for.
+  static uint32_t record_allows(const Slot& s);
+
   // How many tasks of the job fit there, up to `most`. Single tasks without accelerators leave to
   // each free accelerator what its next task will need besides; else machines rented for their
   // accelerators fill up with work that could run anywhere, and is evicted for a guarantee soon
--- a/tests/scenario_api_test.cpp
+++ b/tests/scenario_api_test.cpp
@@ -46,6 +46,34 @@
   EXPECT_EQ(s.submit(bad).status, 200);
 }
 
+// Half of the tasks, rounded up, may be in one zone: a gang needs a second one for the rest.
+TEST(Api, AGangThatNoZonesCanHoldIsRefused) {
+  Site s;
+  s.run_for(seconds(2));
+  JobSpec spread = job("run-000001", 2);
+  spread.spread = true;
+  spread.zone = "a";
+  EXPECT_EQ(s.submit(spread).status, 201) << "an array may have half of its tasks run at a time";
+  spread.gang = true;
+  spread.id = "run-000002";
+  EXPECT_EQ(s.submit(spread).status, 422) << "bound to one zone";
+  spread.zone.reset();
+  spread.types = {"crate"};
+  EXPECT_EQ(s.submit(spread).status, 422) << "of a type that is offered in one zone";
+  spread.types.clear();
+  spread.one_zone = true;
+  EXPECT_EQ(s.submit(spread).status, 422) << "in one zone, and in two";
+  spread.one_zone = false;
+  EXPECT_EQ(s.submit(spread).status, 201);
+  spread.id = "run-000003";
+  spread.tasks = 1;
+  spread.zone = "a";
+  EXPECT_EQ(s.submit(spread).status, 201) << "half of one, rounded up, is one";
+  // Accepted once, known for ever, whatever the answer to a new one would be.
+  spread.tasks = 2;
+  EXPECT_EQ(s.submit(spread).status, 200);
+}
+
 TEST(Api, WithTheStateServiceGoneFinalAnswersStandAndTheRestIsPutOffAtOnce) {
   Site s;
   s.run_for(seconds(2));
--- a/tests/zone_constraints_test.cpp
+++ b/tests/zone_constraints_test.cpp
@@ -1,6 +1,7 @@
 // Jobs whose tasks belong into one zone, or at most half of them into each: every way in which the
 // scheduler places a task keeps to that, given what the job holds, is given in the round and is
 // promised by nominations.
+#include "dunlinknot/scheduler/apply.hpp"
 #include "zoned_cluster.hpp"
 
 namespace dunlinknot::scheduler {
@@ -121,5 +122,71 @@
   EXPECT_EQ(evicted_by_zone(plan()), (Zones{{"a", 1}}));
 }
 
+TEST_F(ZoneConstraints, MachinesAreRentedWhereTheJobMayHaveMoreTasks) {
+  for (const bool spread : {false, true}) {
+    const std::string held = spread ? "a" : "b";  // the offers of zone a come first
+    Job& j = add_preemptor(4, !spread, spread);
+    Host& host = machine("vm-" + held, held);
+    run(j, host);
+    run(j, host);
+    market.refused.clear();
+    const Plan p = plan();
+    ASSERT_EQ(p.capacity_requests.size(), 1u);
+    EXPECT_EQ(p.capacity_requests[0].offer.zone, "b");
+    cluster.close_job("run-000002", false, now);
+    cluster.remove_host("vm-" + held, now);
+  }
+}
+
+TEST_F(ZoneConstraints, MachinesForASpreadGangAreRentedInSeveralZones) {
+  JobSpec gang = job("run-000002", 4);
+  gang.gang = true;
+  gang.need = {8, 0, 4};
+  gang.spread = true;
+  add(gang);
+  market.refused.clear();
+  Plan p = plan();
+  ASSERT_EQ(p.capacity_requests.size(), 1u);
+  EXPECT_EQ(p.capacity_requests[0].offer.zone, "a");
+  EXPECT_EQ(p.capacity_requests[0].count, 2u);
+  market.pending = {{p.capacity_requests[0].offer, 2}};
+  p = plan();
+  ASSERT_EQ(p.capacity_requests.size(), 1u);
+  EXPECT_EQ(p.capacity_requests[0].offer.zone, "b");
+  EXPECT_EQ(p.capacity_requests[0].count, 2u);
+}
+
+TEST_F(ZoneConstraints, RoomIsKeptForASpreadGangInSeveralZones) {
+  for (const char* id : {"vm-1", "vm-2"}) fill(machine(id, "a"));
+  fill(machine("vm-3", "b"));
+  JobSpec gang = job("run-000002", 2);
+  gang.gang = true;
+  gang.need = {8, 0, 4};
+  gang.spread = true;
+  add(gang);
+  const Plan p = plan();
+  EXPECT_EQ(p.held.size(), 2u);
+  EXPECT_TRUE(p.held.contains("vm-3"));
+}
+
+// Found while looking for decisions that miss what the round itself has placed: a record longer
+// than the state service takes is never written, and nothing on its machine starts any more.
+TEST_F(ZoneConstraints, ARoundPlacesNoMoreThanAMachinesRecordTakes) {
+  Host& host = machine("vm-1", "a");
+  JobSpec many = job("run-000001", 5'000);
+  many.need = {0.001, 0, 0.001};
+  add(many);
+  JobSpec gang = many;
+  gang.id = "run-000002";
+  gang.gang = true;
+  add(gang);
+  platform.state_write_rps = 0.1;  // work is booked ahead
+  const Plan p = plan();
+  EXPECT_FALSE(p.placements.empty());
+  EXPECT_TRUE(p.gangs.empty());
+  (void)apply(p, state, now);
+  EXPECT_LE(cluster.record_size(host), cluster.record_limit());
+}
+
 }  // namespace
 }  // namespace dunlinknot::scheduler
