--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using cluster::Effects;
-using cluster::Host;
 using cluster::Job;
 using cluster::LeaderState;
 using http::Outcome;
--- a/tests/scheduler_property_test.cpp
+++ b/tests/scheduler_property_test.cpp
@@ -305,7 +305,7 @@
     }
     expect(!spec.one_zone || zones.size() <= 1, id + " is in several zones");
     for (const auto& [zone, n] : zones) {
-      expect(!spec.spread || 2 * n <= spec.tasks + 1, id + " has too many tasks in " + zone);
+      expect(!spec.spread || 2 * n <= spec.tasks + 1, "too many tasks of a job in " + zone);
     }
     for (const auto& t : platform_.teams) {
       if (t.name != spec.team) continue;
@@ -340,7 +340,7 @@
       const JobSpec& spec = open_.at(id);
       expect(!spec.one_zone || by_zone.size() == 1, "room in several zones for " + id);
       for (const auto& [zone, n] : by_zone) {
-        expect(!spec.spread || 2 * n <= spec.tasks + 1, "too much room in " + zone + " for " + id);
+        expect(!spec.spread || 2 * n <= spec.tasks + 1, "too much room for a job in " + zone);
       }
     }
   }
