--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -91,6 +91,17 @@
     n.settle(c);
   }
 
+  // Room is made on vm-1 for run-000002, and taken by a higher priority. Returns the nomination.
+  uint64_t nominate_and_lose_the_room() {
+    Host& h = *c.host("vm-1");
+    run(add("run-000001", Priority::low, 8), h);
+    add("run-000002", Priority::normal, 6);
+    carry_out(plan());
+    victims_gone(h);
+    run(add("run-000003", Priority::high, 8), h);
+    return n.all().begin()->first;
+  }
+
   settings::Platform platform = test::Site::platform(0, 1);
   settings::Operator op;
   Cluster c{platform, op};
@@ -253,13 +264,7 @@
 }
 
 TEST_F(PreemptionTest, RenominatesOnceTheVictimsAreGoneAndTheRoomIsLost) {
-  Host& h = *c.host("vm-1");
-  run(add("run-000001", Priority::low, 8), h);
-  add("run-000002", Priority::normal, 6);
-  carry_out(plan());
-  const uint64_t first = n.all().begin()->first;
-  victims_gone(h);
-  run(add("run-000003", Priority::high, 8), h);  // a higher priority took the room
+  const uint64_t first = nominate_and_lose_the_room();
   Host& other = machine("vm-2");
   run(add("run-000004", Priority::low, 8), other);
   const auto p = plan();
@@ -271,6 +276,19 @@
   EXPECT_EQ(n.all().begin()->second.host, "vm-2");
 }
 
+// Found by reading: with machines to be rented the nomination was neither used, renewed nor
+// cleared, and the task that had it was not rented for.
+TEST_F(PreemptionTest, ATaskWhoseRoomIsLostIsRentedForOnceMachinesCanBeRented) {
+  const uint64_t first = nominate_and_lose_the_room();
+  c.close_job("run-000001", false, now);
+  market.refused.clear();
+  const auto p = plan();
+  EXPECT_TRUE(p.evictions.empty());
+  EXPECT_EQ(p.cleared, std::vector<uint64_t>{first});
+  carry_out(p);
+  EXPECT_FALSE(plan().capacity_requests.empty());
+}
+
 TEST_F(PreemptionTest, AGuaranteeTakesBackWhatOthersBorrowed) {
   Host& h = *c.host("vm-1");
   Job& borrowing = add("run-000001", Priority::high, 4, 2, "blue");  // 8 of a guaranteed 8
