--- a/tests/random_placements_test.cpp
+++ b/tests/random_placements_test.cpp
@@ -9,6 +9,7 @@
  public:
   using RandomScenario::RandomScenario;
   size_t zone_bound_jobs = 0;
+  size_t lost_machines = 0;
 
   // Nominations over all processes of all controllers, those that crashed too.
   struct Preemptions {
@@ -37,6 +38,28 @@
                         {"box/c/ordinary", 1},
                         {"box/b/spot", 1},
                         {"crate/a/ordinary", 1}};
+    for (int k = 0; k < 2; ++k) s.loop.spawn(lose_machine(in(12, 70)));
+  }
+  // One that is up goes, most often with a notice; the cloud has as many as before.
+  Task<void> lose_machine(Nanos begins) {
+    co_await s.loop.sleep(begins);
+    std::vector<Worker*> up;
+    for (auto& [id, w] : s.workers) {
+      if (w->on) up.push_back(w.get());
+    }
+    if (up.empty()) co_return;
+    Worker& w = *up[pick(up.size())];
+    if (chance(0.6)) {
+      w.notice = Seconds(8);
+      co_await s.loop.sleep(seconds(8));
+    }
+    if (!w.on) co_return;  // returned meanwhile
+    w.power_off();
+    CloudService::Machine& m = s.cloud.machines[w.id];
+    m.gone = true;
+    m.gone_at = s.loop.now();
+    ++s.cloud.capacity[m.type + "/" + m.zone + (m.spot ? "/spot" : "/ordinary")];
+    ++lost_machines;
   }
   size_t job_count() const override { return 14; }
   Nanos duration() const override { return seconds(700); }
@@ -74,9 +97,10 @@
 class RandomPlacements : public testing::TestWithParam<uint32_t> {};
 
 TEST_P(RandomPlacements, BreakNoRule) {
-  constexpr uint32_t kScenarios = 10;
+  constexpr uint32_t kScenarios = 20;
   ScarceMachines::Preemptions sum;
   size_t zone_bound_jobs = 0;
+  size_t lost_machines = 0;
   for (uint32_t k = 0; k < kScenarios; ++k) {
     const uint32_t seed = GetParam() * kScenarios + k;
     SCOPED_TRACE("seed " + std::to_string(seed));
@@ -88,6 +112,7 @@
     sum.cleared += p.cleared;
     sum.refused_bookings += p.refused_bookings;
     zone_bound_jobs += scenario.zone_bound_jobs;
+    lost_machines += scenario.lost_machines;
   }
   EXPECT_EQ(sum.refused_bookings, 0u) << "a plan broke its job's constraints";
   // A generator that evicts nobody would show nothing.
@@ -95,9 +120,10 @@
   EXPECT_GT(sum.used, kScenarios / 2);
   EXPECT_GT(sum.cleared, 0u);
   EXPECT_GT(zone_bound_jobs, kScenarios * 5);
+  EXPECT_GT(lost_machines, kScenarios);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, RandomPlacements, testing::Range(1u, 13u));
+INSTANTIATE_TEST_SUITE_P(Seeds, RandomPlacements, testing::Range(1u, 7u));
 
 }  // namespace
 }  // namespace dunlinknot::test
