About 4,000 machines: long answers to a watch are listed instead, the cloud's list takes half of its budget

An answer to a watch above 4 MiB was asked for again and again, so that the leader heard of no job and no cancellation until the service no longer had the changes; it is now taken like a 410 and the jobs are listed page by page. The cloud's list was read in pages of 200, at full pace: with 6,000 machines it took the whole budget of 4 calls a second; pages are of 500 now and the list waits so that half of the budget is left for rentals and returns.

Tests at that size (tests/scale_test.cpp): a watch just at and above the bound, 6,000 jobs in one answer, a list of 6,000 machines, a take-over from 4,000 records with 100,000 bookings, a restart of all controllers, the cancellation of a job of 100,000 tasks. The scripted services now page and limit their answers as the protocol says. cost_driver's load grows with the machines.

--- a/benchmarks/cost_driver.cpp
+++ b/benchmarks/cost_driver.cpp
@@ -12,12 +12,16 @@
 namespace dunlinknot::test {
 namespace {
 
+// Jobs and teams' limits are given for a cluster of so many machines and grow with it.
+constexpr double kReferenceMachines = 600;
+
 struct Load {
   uint32_t machines = 600;
   uint32_t seconds = 60;
   uint32_t array_tasks = 110;    // of each submitted array
   double task_cpus = 3;          // of each task
-  double jobs_per_second = 0.6;  // arrays and gangs together
+  double jobs_per_second = 0.6;  // arrays and gangs together, for each kReferenceMachines
+  double jobs_at_start = 75;     // the same
   double polls_per_second = 18;  // over all jobs so far
   double task_seconds = 100;     // mean run time
   uint32_t take_overs = 1;       // restarts of the controller, spread over the run
@@ -45,8 +49,10 @@
 class Driver {
  public:
   explicit Driver(const Load& load) : load_(load) {
-    site_.adjust_platform = [](settings::Platform& p) {
-      p.teams = {{"red", 2000, 0, 400, 0}, {"blue", 2000, 0, 400, 0}, {"tiny", 0, 4, 0, 0}};
+    site_.adjust_platform = [this](settings::Platform& p) {
+      const double cpus = 2000 * scale();
+      const double gpus = 400 * scale();
+      p.teams = {{"red", cpus, 0, gpus, 0}, {"blue", cpus, 0, gpus, 0}, {"tiny", 0, 4, 0, 0}};
       p.report = Seconds(2.5);
       p.state_limits.rps = 200;
       p.state_limits.write_rps = 80;
@@ -82,7 +88,7 @@
     const Instant begin = site_.clock.now();
     const Instant end = begin + seconds(load_.seconds);
     uint32_t restarts = 0;
-    double jobs_due = 75;  // what waits at the start
+    double jobs_due = load_.jobs_at_start * scale();
     double polls_due = 0;
     while (site_.clock.now() < end) {
       const auto jobs = static_cast<uint32_t>(jobs_due);
@@ -93,7 +99,7 @@
       polls_due -= polls;
       site_.loop.spawn(probe());
       site_.run_for(seconds(1));
-      jobs_due += load_.jobs_per_second;
+      jobs_due += load_.jobs_per_second * scale();
       polls_due += load_.polls_per_second;
       const auto elapsed = site_.clock.now() - begin;
       if (restarts < load_.take_overs &&
@@ -113,6 +119,8 @@
   }
 
  private:
+  double scale() const { return load_.machines / kReferenceMachines; }
+
   static std::vector<MachineType> catalog() {
     MachineType cpu;
     cpu.name = "cpu";
@@ -198,6 +206,7 @@
     CLI::App app{"Drives one controller at a given cluster size, for callgrind"};
     app.add_option("--machines", load.machines, "Machines of the cluster");
     app.add_option("--seconds", load.seconds, "Simulated seconds");
+    app.add_option("--jobs-per-second", load.jobs_per_second, "Jobs, for each 600 machines");
     app.add_option("--take-overs", load.take_overs, "Restarts of the controller");
     app.add_option("--polls-per-second", load.polls_per_second, "Users' questions");
     CLI11_PARSE(app, argc, argv);
--- a/src/dunlinknot/cloud/client.cpp
+++ b/src/dunlinknot/cloud/client.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 constexpr auto kWithin = std::chrono::seconds(5);
-constexpr size_t kBody = size_t{256} * 1024;
+constexpr size_t kPageMachines = 500;   // the most that the cloud lists in one answer
+constexpr size_t kMachineBytes = 1024;  // of one listed machine; names have up to 150 bytes
+constexpr size_t kBody = kPageMachines * kMachineBytes;
 }  // namespace
 
 Client::Client(Loop& loop, http::Transport& transport, http::Endpoint at, double rps)
@@ -71,7 +73,7 @@
 }
 
 Task<std::optional<MachineList>> Client::list(std::string after) {
-  std::string target = "/rentals?most=200";
+  std::string target = "/rentals?most=" + std::to_string(kPageMachines);
   if (!after.empty()) target += "&since=" + after;
   http::Reply r = co_await call("GET", target, "");
   if (r.outcome != Outcome::ok || r.status != 200) co_return std::nullopt;
--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -14,6 +14,7 @@
 using http::Outcome;
 
 constexpr auto kListEvery = std::chrono::seconds(3);
+constexpr double kListShare = 0.5;  // of the cloud's requests, for listing many machines
 constexpr auto kCatalogEvery = std::chrono::seconds(45);
 constexpr auto kRepeat = Millis(1500);
 constexpr uint32_t kMaxRentals = 24;
@@ -166,11 +167,14 @@
 Task<void> Fleet::watch_machines(uint64_t term) {
   Instant next_catalog = context_.loop.now() + kCatalogEvery;
   while (context_.in_term(term)) {
+    const Instant began = context_.loop.now();
+    double pages = 0;
     std::string after;
     for (;;) {
       std::optional<MachineList> list = co_await cloud_.list(after);
       if (!context_.in_term(term)) co_return;
       if (!list) break;
+      ++pages;
       take_list(list->machines, context_.loop.now());
       if (!list->more || list->machines.empty()) break;
       after = list->machines.back().id;
@@ -184,7 +188,10 @@
             [&](LeaderState& p) { p.cluster.set_catalog(std::move(*types)); });
       }
     }
-    co_await context_.loop.sleep(kListEvery);
+    // A list of many pages leaves half of the cloud's budget to rentals and returns.
+    const Seconds paced(pages / (context_.platform.cloud_rps * kListShare));
+    co_await context_.loop.sleep_until(
+        std::max(context_.loop.now() + kListEvery, began + to_nanos(paced)));
   }
 }
 
--- a/src/dunlinknot/http/client.cpp
+++ b/src/dunlinknot/http/client.cpp
@@ -28,7 +28,11 @@
     untouched = false;
     state = parser.feed({chunk.data(), static_cast<size_t>(n)});
   }
-  if (state == Parser::Result::failed) co_return reply;
+  if (state == Parser::Result::failed) {
+    constexpr int kBodyTooLarge = 413;
+    reply.too_large = parser.error_status() == kBodyTooLarge;
+    co_return reply;
+  }
   Message m = parser.take();
   reusable = m.keep_alive && parser.idle();
   reply.outcome = Outcome::ok;
--- a/src/dunlinknot/http/client.hpp
+++ b/src/dunlinknot/http/client.hpp
@@ -15,6 +15,7 @@
   Outcome outcome = Outcome::unknown;
   int status = 0;
   std::string body;
+  bool too_large = false;  // an answer came, but its body is above the call's `max_body`
 };
 
 struct Call {
--- a/src/dunlinknot/state/client.cpp
+++ b/src/dunlinknot/state/client.cpp
@@ -268,6 +268,15 @@
   const Nanos within = block + std::chrono::seconds(3);
   http::Reply r = co_await call("GET", target, "", within, kWatchBody, 0, Importance::essential);
   out.outcome = r.outcome;
+  if (r.too_large) {
+    // Asking again would bring the same answer and more. What stands is listed page by page
+    // instead, as when the service no longer has the changes.
+    spdlog::info("state service: the changes of {} since {} are too many for one answer", prefix,
+                 since);
+    out.outcome = Outcome::ok;
+    out.too_old = true;
+    co_return out;
+  }
   if (r.outcome != Outcome::ok) co_return out;
   if (r.status == 410) {
     out.too_old = true;
--- a/src/dunlinknot/state/client.hpp
+++ b/src/dunlinknot/state/client.hpp
@@ -78,7 +78,7 @@
 
 struct WatchResult {
   Outcome outcome = Outcome::unknown;
-  bool too_old = false;
+  bool too_old = false;  // or more than one answer may hold: the keys must be listed again
   std::vector<Change> changes;
   uint64_t revision = 0;
   std::shared_ptr<wire::Document> document;
--- a/tests/cloud_service.cpp
+++ b/tests/cloud_service.cpp
@@ -67,10 +67,18 @@
   }
   // The list as it was a while ago.
   const Instant as_of = loop_.now() - lag;
+  ++lists;
+  const std::string after = query_value(call.target, "since");
+  const size_t most = std::stoul(query_value(call.target, "most"));
+  bool more = false;
   Writer w;
   std::vector<const Machine*> shown;
-  for (const auto& [id, m] : machines) {
-    if (m.since <= as_of && !(m.gone && m.gone_at <= as_of)) shown.push_back(&m);
+  for (auto it = machines.upper_bound(after); it != machines.end(); ++it) {
+    const Machine& m = it->second;
+    if (m.since > as_of || (m.gone && m.gone_at <= as_of)) continue;
+    more = shown.size() == most;
+    if (more) break;
+    shown.push_back(&m);
   }
   w.map(2).key("hosts").list(shown.size());
   for (const auto* m : shown) {
@@ -78,8 +86,8 @@
     w.key("yard").text(m->zone).key("loaners").flag(m->spot).key("standing").text("running");
     w.key("heldS").amount(to_seconds(as_of - m->since).count());
   }
-  w.key("more").flag(false);
-  co_return reply(200, w.take());
+  w.key("more").flag(more);
+  co_return within_limit(call, reply(200, w.take()));
 }
 
 }  // namespace dunlinknot::test
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,180 @@
+// About 4,000 machines: lists over several pages, answers at the bounds of what a controller takes,
+// a take-over with 100,000 bookings, and the end of the largest job that there can be.
+#include <gtest/gtest.h>
+
+#include "support.hpp"
+
+namespace dunlinknot::test {
+namespace {
+
+constexpr size_t kMachines = 4000;
+constexpr uint32_t kTasksPerMachine = 25;
+constexpr uint64_t kFormerEpoch = 5;
+const std::string kLargest = "run-000001";
+
+std::string machine_name(size_t number) {
+  std::string digits = std::to_string(number);
+  return "vm-" + std::string(6 - digits.size(), '0') + digits;
+}
+
+std::string job_record(const JobSpec& spec) {
+  return wire::write_job_record({spec, WallTime(Millis(1'700'000'000'000))});
+}
+
+size_t known_machines(Site& site) {
+  return site.daemon(*site.leader()).context().leader_state.with([](cluster::LeaderState& p) {
+    return p.cluster.hosts().size();
+  });
+}
+
+size_t bookings(Site& site) {
+  return site.daemon(*site.leader()).context().leader_state.with([](cluster::LeaderState& p) {
+    return p.cluster.booking_count();
+  });
+}
+
+size_t open_jobs(Site& site) {
+  return site.daemon(*site.leader()).context().leader_state.with([](cluster::LeaderState& p) {
+    return p.cluster.jobs().size();
+  });
+}
+
+// Answers every request with a watch's answer of a given size.
+class LongAnswer final : public http::Transport {
+ public:
+  Task<http::Reply> exchange(http::Call call) override {
+    wire::Writer w;
+    w.map(3).key("ledgerRev").count(7).key("news").list(0).key("padding");
+    constexpr size_t kStringHeader = 5;
+    w.text(std::string(call.max_body + beyond - w.size() - kStringHeader, 'x'));
+    co_return within_limit(call, reply(200, w.take()));
+  }
+  size_t beyond = 0;  // bytes above what the caller takes
+};
+
+TEST(Scale, AWatchWhoseAnswerIsTooLongIsAnsweredByAListing) {
+  World world;
+  LongAnswer transport;
+  const settings::Platform platform = Site::platform(0, 1);
+  state::Client client(world.loop, transport, platform.state, state::Limits(platform.state_limits),
+                       1.0);
+  for (const size_t beyond : {size_t{0}, size_t{1}}) {
+    transport.beyond = beyond;
+    const auto result = world.get(client.watch("job/", 3, Millis(100)));
+    EXPECT_EQ(result.outcome, http::Outcome::ok);
+    EXPECT_EQ(result.too_old, beyond > 0) << beyond << " bytes above the bound";
+  }
+}
+
+// Found by reading: the watch was asked again and again, and nothing was heard of the jobs until
+// the service no longer had their changes.
+TEST(Scale, JobsAndCancellationsAreHeardOfWhenMoreCameThanOneAnswerHolds) {
+  Site site;
+  site.run_for(seconds(3));
+  ASSERT_EQ(site.submit(job(kLargest)).status, 201);
+  site.run_for(seconds(1));
+  constexpr size_t kJobs = 6000;
+  JobSpec spec = job("run-100000");
+  spec.image = std::string(100, 'i');
+  for (size_t i = 0; i < 30; ++i) spec.types.push_back("box-" + std::string(30, 't'));
+  ASSERT_GT(job_record(spec).size() * kJobs, size_t{4} * 1024 * 1024);
+  for (size_t i = 0; i < kJobs; ++i) {
+    spec.id = "run-" + std::to_string(100'000 + i);
+    site.state.put(wire::job_key(spec.id), job_record(spec));
+  }
+  site.state.erase(wire::job_key(kLargest));
+  site.run_for(seconds(5));
+  EXPECT_EQ(open_jobs(site), kJobs);
+}
+
+TEST(Scale, AListOf6000MachinesIsReadPageByPageAndLeavesRoomForRentals) {
+  Site site;
+  constexpr size_t kListed = 6000;
+  for (size_t i = 1; i <= kListed; ++i) {
+    CloudService::Machine m{"aa-" + machine_name(i), "box", "b", true, site.clock.now(), false, {}};
+    site.cloud.machines[m.id] = m;
+  }
+  site.cloud.lag = Nanos(0);
+  site.run_for(seconds(12));
+  EXPECT_GE(known_machines(site), kListed);
+  const uint64_t lists_before = site.cloud.lists;
+  ASSERT_EQ(site.submit(job(kLargest)).status, 201);
+  constexpr auto kWatched = seconds(20);
+  site.run_for(kWatched);
+  EXPECT_GE(site.cloud.rentals, 1u) << "the job allows no spot machine, so one is rented for it";
+  const double budget = kWatched.count() * site.rules_platform.cloud_rps;
+  EXPECT_LT(static_cast<double>(site.cloud.lists - lists_before), budget * 0.7);
+}
+
+// 4,000 machines that run 25 tasks of one job each, with their records as a former leader left
+// them.
+class FullCluster {
+ public:
+  FullCluster() {
+    site.adjust_platform = [](settings::Platform& p) { p.teams = {{"red", 8, 1'000'000, 0, 0}}; };
+    site.cloud.types.front().size = {64, 0, 256};
+    site.cloud.lag = Nanos(0);
+    spec = job(kLargest, kMaxTasks);
+    spec.need = {1, 0, 1};
+    site.specs[kLargest] = spec;
+    site.rules.submitted(spec);
+    site.rules.submit_answered(kLargest, 201, "queued", site.clock.now());
+    site.state.put(std::string(wire::kEpochKey), wire::write_epoch(kFormerEpoch));
+    site.state.put(wire::job_key(kLargest), job_record(spec));
+    for (size_t i = 0; i < kMachines; ++i) add_machine(i);
+    site.restart(0);
+  }
+
+  size_t running() const {
+    size_t count = 0;
+    for (const auto& [id, worker] : site.workers) count += worker->tasks.size();
+    return count;
+  }
+
+  Site site;
+  JobSpec spec;
+
+ private:
+  void add_machine(size_t number) {
+    const CloudService::Machine m{machine_name(number + 1), "box", "a", false,
+                                  site.clock.now(),         false, {}};
+    site.cloud.machines[m.id] = m;
+    site.add_worker(m);
+    Worker& worker = *site.workers.at(m.id);
+    worker.token = kFormerEpoch;
+    wire::HostRecord record{m.type, m.zone, worker.address, false, {}};
+    wire::HostRecord::Group group{kLargest, spec.team, spec.need, false, {}};
+    for (uint32_t k = 0; k < kTasksPerMachine; ++k) {
+      const TaskRef task{kLargest, static_cast<uint32_t>(number) * kTasksPerMachine + k};
+      constexpr uint64_t kAttempt = 17;
+      group.tasks.emplace_back(task.index, kAttempt);
+      Worker::Running running{task, kAttempt, TaskState::running, ExitCause::none, false, {}, {}};
+      running.since = site.clock.now();
+      running.ends = site.clock.now() + std::chrono::hours(1);
+      worker.tasks[{task, kAttempt}] = running;
+    }
+    record.groups.push_back(std::move(group));
+    site.state.put(wire::host_key(m.id), wire::write_host(record));
+  }
+};
+
+TEST(Scale, ATakeOverFrom4000MachineRecordsKeepsAllTasksAndCancelsTheLargestJob) {
+  FullCluster cluster;
+  Site& site = cluster.site;
+  site.run_for(seconds(5));
+  ASSERT_TRUE(site.leader().has_value());
+  EXPECT_EQ(bookings(site), kMaxTasks);
+  for (size_t i = 0; i < site.nodes.size(); ++i) site.restart(i);
+  site.run_for(seconds(5));
+  EXPECT_EQ(bookings(site), kMaxTasks) << "after a restart of all controllers";
+  EXPECT_EQ(cluster.running(), kMaxTasks);
+  EXPECT_EQ(site.starts, 0u) << "what runs is not started again";
+
+  ASSERT_EQ(site.cancel(kLargest).status, 200);
+  site.run_for(seconds(5));
+  EXPECT_EQ(cluster.running(), 0u);
+  expect_rules(site);
+}
+
+}  // namespace
+}  // namespace dunlinknot::test
--- a/tests/state_service.cpp
+++ b/tests/state_service.cpp
@@ -15,14 +15,6 @@
 
 namespace {
 
-std::string param(const std::string& target, const std::string& name) {
-  const auto at = target.find(name + "=");
-  if (at == std::string::npos) return "";
-  const auto end = target.find('&', at);
-  return target.substr(at + name.size() + 1,
-                       end == std::string::npos ? end : end - at - name.size() - 1);
-}
-
 uint64_t number(const std::string& s) {
   return s.empty() ? 0 : std::stoull(s);
 }
@@ -198,9 +190,9 @@
 }
 
 Task<Reply> StateService::changes(std::string target, Instant deadline) {
-  const std::string prefix = param(target, "starts");
-  const uint64_t since = number(param(target, "since"));
-  const Instant end = loop_.now() + Millis(number(param(target, "blockMs")));
+  const std::string prefix = query_value(target, "starts");
+  const uint64_t since = number(query_value(target, "since"));
+  const Instant end = loop_.now() + Millis(number(query_value(target, "blockMs")));
   for (;;) {
     if (too_old) co_return reply(410);
     if (loop_.now() >= deadline) co_return Reply{};  // the client gave up
@@ -256,14 +248,17 @@
 }
 
 Reply StateService::list_keys(const std::string& target) const {
-  const std::string prefix = param(target, "starts");
-  const std::string after = param(target, "since");
-  const uint64_t most = number(param(target, "most"));
+  const std::string prefix = query_value(target, "starts");
+  const std::string after = query_value(target, "since");
+  const uint64_t most = number(query_value(target, "most"));
+  constexpr size_t kPageBytes = size_t{512} * 1024;
   std::vector<std::pair<std::string, const Entry*>> rows;
   bool more = false;
+  size_t bytes = 0;
   for (const auto& [k, e] : data) {
     if (!k.starts_with(prefix) || (!after.empty() && k <= after)) continue;
-    if (rows.size() == most) {
+    bytes += k.size() + e.value.size();
+    if (rows.size() == most || bytes > kPageBytes) {
       more = true;
       break;
     }
@@ -322,7 +317,7 @@
     co_await loop_.sleep_until(call.deadline);
     co_return Reply{};
   }
-  co_return out;
+  co_return within_limit(call, std::move(out));
 }
 
 }  // namespace dunlinknot::test
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -19,6 +19,20 @@
   return r;
 }
 
+Reply within_limit(const Call& call, Reply r) {
+  if (r.body.size() <= call.max_body) return r;
+  Reply none;
+  none.too_large = true;
+  return none;
+}
+
+std::string query_value(const std::string& target, const std::string& name) {
+  const auto at = target.find(name + "=");
+  if (at == std::string::npos) return "";
+  const auto begin = at + name.size() + 1;
+  return target.substr(begin, target.find('&', at) - begin);
+}
+
 Site::Node::Node(Site& s, size_t index) : site(s) {
   platform = Site::platform(index, 3);
   if (s.adjust_platform) s.adjust_platform(platform);
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -73,6 +73,10 @@
 
 // A response with this status.
 http::Reply reply(int status, std::string body = "");
+// What the caller sees of a reply: none that is larger than it takes.
+http::Reply within_limit(const http::Call& call, http::Reply reply);
+// The value of a parameter of a request's target; empty where it is missing.
+std::string query_value(const std::string& target, const std::string& name);
 
 class StateService {
  public:
@@ -153,7 +157,7 @@
   Nanos lag = seconds(8);
   std::map<std::string, Machine> machines;
   std::map<std::string, std::vector<std::string>> answered;  // by request name
-  uint64_t rentals = 0, refusals = 0;
+  uint64_t rentals = 0, refusals = 0, lists = 0;
   std::function<void(const Machine&)> on_rented;
   std::function<void(const std::string&)> on_deleted;
   std::vector<std::string> deletions;
