Duties: leases, tokens and durable intents for renting, returning and cleaning up, off unless the operators turn them on

Need: a controller that was replaced may still send a rental or a deletion, and the cloud checks no token. Package duties: a lease and token a duty, taken by the leader under the epoch's guard; an intent for each rental and return, durable before it is sent, read and carried on by the successor. fleet is split into rentals, returns and the list; both act through the intents when duties/on is set, and as before when it is not. Records are removed under the cleanup duty's guard.

--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -57,6 +57,7 @@
   held_hosts_.clear();
   saved_.clear();
   gone_.clear();
+  returning_.clear();
   stop_hosts_.clear();
   dead_records_.clear();
   held_back_jobs_.clear();
@@ -227,6 +228,7 @@
   slot->spot = spot;
   slot->known_since = now;
   slot->idle_since = now;
+  slot->deleting = returning_.contains(id);
   if (const MachineType* t = type(type_name)) {
     slot->size = t->size;
     slot->cache_gb = t->cache_gb;
@@ -235,10 +237,18 @@
   return *slot;
 }
 
+void Cluster::mark_returning(const std::string& id) {
+  returning_.insert(id);
+  if (Host* h = host(id)) h->deleting = true;
+}
+
 Effects Cluster::remove_host(const std::string& id, Instant now) {
   Effects effects;
   const auto it = hosts_.find(id);
-  if (it == hosts_.end()) return effects;
+  if (it == hosts_.end()) {
+    gone_[id] = now;
+    return effects;
+  }
   Host& h = *it->second;
   while (!h.bookings.empty()) effects |= end_booking(h, h.bookings.size() - 1, now);
   if (h.stamp != 0 || !h.stamp_known) dead_records_.emplace_back(wire::host_key(id), h.stamp);
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -110,6 +110,7 @@
 
   // What the cloud told.
   Instant known_since{};
+  bool listed = false;
   bool listed_running = false;
   bool listed_failed = false;
   bool deleting = false;
@@ -217,6 +218,8 @@
   Host* host(const std::string& id);
   Host& learn_host(const std::string& id, std::string_view type, std::string_view zone, bool spot,
                    Instant now);
+  // The machine is to be returned, also when nothing is known of it yet: it gets no work.
+  void mark_returning(const std::string& id);
   // The cloud confirmed that the machine is gone, or its lease is over and it is not listed.
   Effects remove_host(const std::string& id, Instant now);
 
@@ -358,6 +361,7 @@
   std::vector<TeamUsage> usage_;
   Resources beside_gpu_;
   std::map<std::string, Expected> expected_;  // by class
+  std::set<std::string> returning_;           // by the decision of a former leader
   std::map<std::string, Instant> gone_;  // machines removed of late: late reports are not believed
   std::vector<std::pair<std::string, uint64_t>> dead_records_;
   std::deque<std::string> urgent_hosts_;
--- a/src/dunlinknot/cluster/ledger.hpp
+++ b/src/dunlinknot/cluster/ledger.hpp
@@ -19,6 +19,10 @@
     std::function<void(const std::string& id, uint32_t tasks)> finished;  // `done` is durable
     // All cancellations that stood when a read was sent at `sent` have been carried out here.
     std::function<void(Instant sent)> caught_up;
+    // What a removal of records has to guard; nothing while this node may not remove any.
+    std::function<std::optional<std::vector<state::Guard>>()> cleanup_guards;
+    // Such a removal, sent at `sent` by the clock that counts suspended time, was answered.
+    std::function<void(const state::TxnResult&, Instant sent)> cleanup_result;
   };
   Ledger(LeaderContext& context, state::Client& state, Hooks hooks);
 
--- a/src/dunlinknot/cluster/ledger_hosts.cpp
+++ b/src/dunlinknot/cluster/ledger_hosts.cpp
@@ -242,8 +242,10 @@
   for (auto& d : dead) garbage_.push_back(std::move(d));
   if (garbage_.empty() || state_.write_level() < state_.write_burst() * kSlackLevel)
     co_return false;
+  std::optional<std::vector<state::Guard>> guards = hooks_.cleanup_guards();
+  if (!guards) co_return false;
   state::Txn txn;
-  txn.guards.push_back(epoch_guard());
+  txn.guards = std::move(*guards);
   std::vector<std::pair<std::string, uint64_t>> batch;
   while (!garbage_.empty() && batch.size() < std::min<size_t>(max_ops(), 12)) {
     batch.push_back(garbage_.front());
@@ -251,8 +253,10 @@
     txn.guards.push_back({batch.back().first, batch.back().second});
     txn.writes.push_back({batch.back().first, "", 0});
   }
+  const Instant sent = context_.loop.boot_now();
   state::TxnResult r = co_await state_.commit(std::move(txn), kCommitTime);
   if (!context_.in_term(term)) co_return false;
+  hooks_.cleanup_result(r, sent);
   if (r.guard_failed(wire::kEpochKey)) {
     hooks_.deposed("a transaction met a later epoch");
     co_return false;
--- /dev/null
+++ b/src/dunlinknot/duties/holder.cpp
@@ -0,0 +1,188 @@
+#include "dunlinknot/duties/holder.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace dunlinknot::duties {
+
+namespace {
+
+using http::Outcome;
+
+constexpr Millis kCallTime{700};
+constexpr Millis kRetry{150};
+constexpr auto kDamagedRetry = std::chrono::seconds(5);
+constexpr int kLateWakeShare = 2;  // of the lease: a timer later than its half is distrusted
+
+state::Guard epoch_guard(const cluster::LeaderContext& context) {
+  return {std::string(wire::kEpochKey), context.epoch_stamp};
+}
+
+}  // namespace
+
+Holder::Holder(cluster::LeaderContext& context, state::Client& state)
+    : context_(context),
+      state_(state),
+      leases_{Lease(to_nanos(context.op.duties_ttl)), Lease(to_nanos(context.op.duties_ttl)),
+              Lease(to_nanos(context.op.duties_ttl))} {}
+
+bool Holder::may_act(Duty duty) const {
+  return lease(duty).may_act(context_.loop.boot_now());
+}
+
+LeaseState Holder::state(Duty duty) const {
+  return lease(duty).state(context_.loop.boot_now());
+}
+
+std::vector<state::Guard> Holder::guards(Duty duty) const {
+  return {epoch_guard(context_), {duty_key(duty), lease(duty).holding().stamp}};
+}
+
+void Holder::lose() {
+  for (Lease& each : leases_) each.lose();
+}
+
+void Holder::take_result(Duty duty, const state::TxnResult& result, Instant sent) {
+  if (result.outcome != Outcome::ok) return;
+  if (!result.guard_failed(duty_key(duty))) {
+    lease(duty).proved(sent);
+    return;
+  }
+  spdlog::info("duties: {} under token {} is lost: its key was changed or removed", name(duty),
+               token(duty));
+  lease(duty).lose();
+}
+
+Task<std::optional<Holder::Stamps>> Holder::read_stamps(uint64_t term) {
+  Stamps stamps;
+  const state::ListResult list = co_await state_.list(std::string(kDutyPrefix), "", kCallTime);
+  if (!context_.in_term(term) || list.outcome != Outcome::ok || list.more) co_return std::nullopt;
+  for (const state::Item& item : list.items) {
+    if (item.key == kTokenKey) {
+      const auto read = read_token(item.value);
+      if (const auto* error = std::get_if<RecordError>(&read)) {
+        // Without it no token is known to be higher than all before.
+        spdlog::error("duties: {} is left alone, and no duty is taken: {}", item.key, text(*error));
+        co_await context_.loop.sleep(kDamagedRetry);
+        co_return std::nullopt;
+      }
+      stamps.token = std::get<uint64_t>(read);
+      stamps.token_stamp = item.stamp;
+    }
+    for (const Duty duty : kAllDuties) {
+      if (item.key == duty_key(duty)) stamps.duty[static_cast<size_t>(duty)] = item.stamp;
+    }
+  }
+  co_return stamps;
+}
+
+// Takes one duty under the next token. False when that is not known to have worked.
+Task<bool> Holder::take(uint64_t term, Duty duty, Stamps& stamps) {
+  const uint64_t token = stamps.token + 1;
+  state::Txn txn;
+  txn.guards.push_back(epoch_guard(context_));
+  txn.guards.push_back({duty_key(duty), stamps.duty[static_cast<size_t>(duty)]});
+  txn.guards.push_back({std::string(kTokenKey), stamps.token_stamp});
+  txn.writes.push_back({duty_key(duty), write_holder({context_.platform.node, token}), grant_});
+  txn.writes.push_back({std::string(kTokenKey), write_token(token), 0});
+  Instant sent = context_.loop.boot_now();
+  const state::TxnResult result =
+      co_await state_.commit(std::move(txn), kCallTime, state::Importance::essential);
+  if (!context_.in_term(term)) co_return false;
+  uint64_t stamp = result.revision;
+  if (!result.applied) {
+    if (result.outcome != Outcome::unknown) co_return false;
+    // The lease bound to the key tells our own attempt from any other.
+    sent = context_.loop.boot_now();
+    const state::GetResult got =
+        co_await state_.get(duty_key(duty), kCallTime, state::Importance::essential);
+    if (!context_.in_term(term) || got.outcome != Outcome::ok || !got.found) co_return false;
+    const auto read = read_holder(got.item.value);
+    const auto* record = std::get_if<HolderRecord>(&read);
+    if (!record || record->token != token || got.item.lease != grant_) co_return false;
+    stamp = got.item.stamp;
+  }
+  stamps.token = token;
+  stamps.token_stamp = stamp;
+  lease(duty).acquired({token, stamp}, sent);
+  spdlog::info("duties: {} held under token {}", name(duty), token);
+  co_return true;
+}
+
+Task<bool> Holder::try_acquire(uint64_t term) {
+  const state::LeaseResult granted =
+      co_await state_.grant(to_millis(to_nanos(context_.op.duties_ttl)), kCallTime);
+  if (!context_.in_term(term) || granted.outcome != Outcome::ok) co_return false;
+  grant_ = granted.lease;
+  std::optional<Stamps> stamps = co_await read_stamps(term);
+  if (!stamps) co_return false;
+  for (const Duty duty : kAllDuties) {
+    const bool taken = co_await take(term, duty, *stamps);
+    if (!taken) co_return false;
+  }
+  co_return true;
+}
+
+Task<bool> Holder::acquire(uint64_t term) {
+  while (context_.in_term(term)) {
+    for (Lease& each : leases_) {
+      each.lose();
+      each.stand_again();
+    }
+    const bool acquired = co_await try_acquire(term);
+    if (acquired) co_return true;
+    if (context_.in_term(term)) co_await context_.loop.sleep(kRetry);
+  }
+  co_return false;
+}
+
+Task<void> Holder::keep(uint64_t term) {
+  const Nanos ttl = to_nanos(context_.op.duties_ttl);
+  const Nanos every = to_nanos(context_.op.duties_renew);
+  Instant planned = context_.loop.boot_now() + every;
+  while (context_.in_term(term)) {
+    co_await context_.loop.sleep(
+        std::max<Nanos>(planned - context_.loop.boot_now(), std::min<Nanos>(every, kRetry)));
+    if (!context_.in_term(term)) co_return;
+    const Instant woke = context_.loop.boot_now();
+    if (woke > planned + ttl / kLateWakeShare) {
+      for (Lease& each : leases_) each.distrust();
+    }
+    const state::LeaseResult renewed = co_await state_.extend(grant_, kCallTime);
+    if (!context_.in_term(term)) co_return;
+    bool proved = false;
+    if (renewed.outcome == Outcome::ok && !renewed.gone) proved = co_await prove();
+    if (!context_.in_term(term)) co_return;
+    planned = woke + (proved ? every : std::min<Nanos>(every, kRetry * 2));
+    const bool lost = std::any_of(kAllDuties.begin(), kAllDuties.end(),
+                                  [&](Duty duty) { return state(duty) == LeaseState::lost; });
+    if (renewed.gone || lost) {
+      spdlog::info("duties: the lease ended while this node leads on: they are taken again");
+      const bool acquired = co_await acquire(term);
+      if (!acquired) co_return;
+      planned = context_.loop.boot_now() + every;
+      context_.rentals.notify();
+    }
+  }
+}
+
+// A renewed lease alone proves nothing: a successor may have put its own record under the keys. A
+// transaction that only compares shows that they stand as we wrote them.
+Task<bool> Holder::prove() {
+  state::Txn compare;
+  compare.guards.push_back(epoch_guard(context_));
+  for (const Duty duty : kAllDuties) compare.guards.push_back(guards(duty).back());
+  const Instant sent = context_.loop.boot_now();
+  const state::TxnResult result =
+      co_await state_.commit(std::move(compare), kCallTime, state::Importance::essential);
+  for (const Duty duty : kAllDuties) take_result(duty, result, sent);
+  co_return result.applied;
+}
+
+Task<void> Holder::release() {
+  if (grant_ == 0) co_return;
+  (void)co_await state_.revoke(std::exchange(grant_, 0), kCallTime);
+}
+
+}  // namespace dunlinknot::duties
--- /dev/null
+++ b/src/dunlinknot/duties/intents.cpp
@@ -0,0 +1,193 @@
+#include "dunlinknot/duties/intents.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace dunlinknot::duties {
+
+namespace {
+
+using http::Outcome;
+
+constexpr Millis kCallTime{1200};
+constexpr Millis kRetry{150};
+constexpr size_t kMostWrites = 16;  // of a transaction
+
+}  // namespace
+
+IntentLog::IntentLog(cluster::LeaderContext& context, state::Client& state, Holder& holder)
+    : context_(context), state_(state), holder_(holder), has_ended_(context.loop) {}
+
+void IntentLog::begin_term() {
+  stamps_.clear();
+  ended_.clear();
+  has_ended_.notify();
+}
+
+size_t IntentLog::max_batch() const {
+  return std::min(state_.limits().txn_ops(), kMostWrites);
+}
+
+Task<std::optional<OpenIntents>> IntentLog::load(uint64_t term) {
+  OpenIntents open;
+  std::string after;
+  for (bool more = true; more;) {
+    const state::ListResult list =
+        co_await state_.list(std::string(kIntentPrefix), after, std::chrono::seconds(3));
+    if (!context_.in_term(term)) co_return std::nullopt;
+    if (list.outcome != Outcome::ok) {
+      co_await context_.loop.sleep(kRetry);
+      if (!context_.in_term(term)) co_return std::nullopt;
+      continue;
+    }
+    for (const state::Item& item : list.items) {
+      const bool rental = !rent_name(item.key).empty();
+      const auto rent = read_rent_intent(item.key, item.value);
+      const auto give_back = read_return_intent(item.key, item.value);
+      if (rental && std::holds_alternative<RentIntent>(rent)) {
+        open.rentals.push_back(std::get<RentIntent>(rent));
+      } else if (!rental && std::holds_alternative<ReturnIntent>(give_back)) {
+        open.returns.push_back(std::get<ReturnIntent>(give_back));
+      } else {
+        const RecordError error =
+            rental ? std::get<RecordError>(rent) : std::get<RecordError>(give_back);
+        spdlog::error("duties: the intent {} is left alone: {}", item.key, text(error));
+        open.unreadable.push_back({item.key, error});
+        continue;
+      }
+      stamps_[item.key] = item.stamp;
+    }
+    more = list.more && !list.items.empty();
+    if (more) after = list.items.back().key;
+  }
+  co_return open;
+}
+
+Task<bool> IntentLog::record_rentals(uint64_t term, std::vector<RentIntent> intents) {
+  std::vector<Entry> entries;
+  for (RentIntent& intent : intents) {
+    intent.token = holder_.token(Duty::rent);
+    entries.push_back({rent_key(intent.request), write_rent_intent(intent)});
+  }
+  const bool durable = co_await record(term, Duty::rent, std::move(entries));
+  co_return durable;
+}
+
+Task<bool> IntentLog::record_returns(uint64_t term, std::vector<ReturnIntent> intents) {
+  std::vector<Entry> entries;
+  for (ReturnIntent& intent : intents) {
+    intent.token = holder_.token(Duty::give_back);
+    entries.push_back({return_key(intent.machine), write_return_intent(intent)});
+  }
+  const bool durable = co_await record(term, Duty::give_back, std::move(entries));
+  co_return durable;
+}
+
+Task<bool> IntentLog::record(uint64_t term, Duty duty, std::vector<Entry> entries) {
+  std::erase_if(entries, [&](const Entry& entry) { return stamps_.contains(entry.key); });
+  if (entries.empty()) co_return true;
+  if (!holder_.may_act(duty)) co_return false;
+  state::Txn txn;
+  txn.guards = holder_.guards(duty);
+  for (const Entry& entry : entries) {
+    txn.guards.push_back({entry.key, 0});
+    txn.writes.push_back({entry.key, entry.value, 0});
+  }
+  const Instant sent = context_.loop.boot_now();
+  const state::TxnResult result = co_await state_.commit(std::move(txn), kCallTime);
+  if (!context_.in_term(term)) co_return false;
+  holder_.take_result(duty, result, sent);
+  if (result.applied) {
+    for (const Entry& entry : entries) stamps_[entry.key] = result.revision;
+    co_return true;
+  }
+  const bool stands_already = std::any_of(entries.begin(), entries.end(), [&](const Entry& entry) {
+    return result.guard_failed(entry.key);
+  });
+  if (result.outcome == Outcome::refused || (result.outcome == Outcome::ok && !stands_already)) {
+    co_return false;
+  }
+  const bool durable = co_await read_back(term, entries);
+  co_return durable;
+}
+
+// Nobody knows whether the transaction went through, or an earlier try of it did: what stands
+// counts, whichever attempt wrote it. A machine that a former holder decided to return stays so.
+Task<bool> IntentLog::read_back(uint64_t term, const std::vector<Entry>& entries) {
+  bool all = true;
+  for (const Entry& entry : entries) {
+    const state::GetResult got = co_await state_.get(entry.key, kCallTime);
+    if (!context_.in_term(term) || got.outcome != Outcome::ok) co_return false;
+    if (got.found) {
+      stamps_[entry.key] = got.item.stamp;
+    } else {
+      all = false;
+    }
+  }
+  co_return all;
+}
+
+void IntentLog::end(Duty duty, std::string key) {
+  if (!stamps_.contains(key)) return;
+  const bool waits = std::any_of(ended_.begin(), ended_.end(),
+                                 [&](const Ended& ended) { return ended.key == key; });
+  if (waits) return;
+  ended_.push_back({duty, std::move(key)});
+  has_ended_.notify();
+}
+
+Task<void> IntentLog::remove_ended(uint64_t term) {
+  while (context_.in_term(term)) {
+    if (ended_.empty()) (void)co_await has_ended_.wait();
+    if (!context_.in_term(term)) co_return;
+    if (ended_.empty()) continue;
+    const bool removed = co_await remove_batch(term);
+    if (!removed && context_.in_term(term)) co_await context_.loop.sleep(kRetry);
+  }
+}
+
+// One transaction over ended intents of one duty.
+Task<bool> IntentLog::remove_batch(uint64_t term) {
+  const Duty duty = ended_.front().duty;
+  if (!holder_.may_act(duty)) co_return false;
+  std::vector<Ended> batch;
+  state::Txn txn;
+  txn.guards = holder_.guards(duty);
+  for (const Ended& ended : ended_) {
+    if (ended.duty != duty || batch.size() >= max_batch()) continue;
+    batch.push_back(ended);
+    txn.guards.push_back({ended.key, stamps_[ended.key]});
+    txn.writes.push_back({ended.key, "", 0});
+  }
+  const Instant sent = context_.loop.boot_now();
+  const state::TxnResult result = co_await state_.commit(std::move(txn), kCallTime);
+  if (!context_.in_term(term)) co_return false;
+  holder_.take_result(duty, result, sent);
+  if (!result.applied) {
+    if (result.outcome != Outcome::refused) co_await reread_ended(term, batch);
+    co_return false;
+  }
+  std::erase_if(ended_, [&](const Ended& ended) {
+    return std::any_of(batch.begin(), batch.end(),
+                       [&](const Ended& removed) { return removed.key == ended.key; });
+  });
+  for (const Ended& removed : batch) stamps_.erase(removed.key);
+  co_return true;
+}
+
+Task<void> IntentLog::reread_ended(uint64_t term, const std::vector<Ended>& batch) {
+  for (const Ended& ended : batch) {
+    const state::GetResult got = co_await state_.get(ended.key, kCallTime);
+    if (!context_.in_term(term)) co_return;
+    if (got.outcome != Outcome::ok) continue;
+    if (got.found) {
+      stamps_[ended.key] = got.item.stamp;
+      continue;
+    }
+    stamps_.erase(ended.key);
+    std::erase_if(ended_, [&](const Ended& each) { return each.key == ended.key; });
+  }
+}
+
+}  // namespace dunlinknot::duties
--- /dev/null
+++ b/src/dunlinknot/duties/intents.hpp
@@ -0,0 +1,74 @@
+// The log of what the duties decided: each act on the cloud is durable here before it is sent, in a
+// transaction that guards the duty's key, and stays until there is evidence of how it ended.
+//
+// A successor reads the open intents and goes on with the same acts under the same names before it
+// decides anything of its own. So whatever a former holder still sends, however late, repeats what
+// is decided anyway.
+#pragma once
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "dunlinknot/duties/holder.hpp"
+
+namespace dunlinknot::duties {
+
+// An intent that cannot be taken as it is. Its name is known from its key.
+struct UnreadableIntent {
+  std::string key;
+  RecordError error = RecordError::damaged;
+};
+
+struct OpenIntents {
+  std::vector<RentIntent> rentals;
+  std::vector<ReturnIntent> returns;
+  std::vector<UnreadableIntent> unreadable;
+};
+
+class IntentLog {
+ public:
+  IntentLog(cluster::LeaderContext& context, state::Client& state, Holder& holder);
+
+  void begin_term();
+  // All that is open; nothing when the term ended meanwhile.
+  Task<std::optional<OpenIntents>> load(uint64_t term);
+
+  // Whether these intents are durable now. If not, nothing may be sent for them; they may be
+  // recorded again. No more than `max_batch` at a time.
+  Task<bool> record_rentals(uint64_t term, std::vector<RentIntent> intents);
+  Task<bool> record_returns(uint64_t term, std::vector<ReturnIntent> intents);
+  size_t max_batch() const;
+
+  // There is evidence that the act is settled: its record may go.
+  void end_rental(const std::string& request) { end(Duty::rent, rent_key(request)); }
+  void end_return(const std::string& machine) { end(Duty::give_back, return_key(machine)); }
+  // Removes the records of what is settled, as long as the term lasts.
+  Task<void> remove_ended(uint64_t term);
+
+  size_t open() const { return stamps_.size(); }
+
+ private:
+  struct Entry {
+    std::string key;
+    std::string value;
+  };
+  struct Ended {
+    Duty duty;
+    std::string key;
+  };
+  Task<bool> record(uint64_t term, Duty duty, std::vector<Entry> entries);
+  Task<bool> read_back(uint64_t term, const std::vector<Entry>& entries);
+  Task<bool> remove_batch(uint64_t term);
+  Task<void> reread_ended(uint64_t term, const std::vector<Ended>& batch);
+  void end(Duty duty, std::string key);
+
+  cluster::LeaderContext& context_;
+  state::Client& state_;
+  Holder& holder_;
+  std::map<std::string, uint64_t> stamps_;  // of the open intents
+  std::deque<Ended> ended_;
+  Signal has_ended_;
+};
+
+}  // namespace dunlinknot::duties
--- /dev/null
+++ b/src/dunlinknot/duties/lease.hpp
@@ -0,0 +1,53 @@
+// The holding of one duty, as its holder sees it: a state machine without I/O.
+//
+// The lease decides who should act; it makes no act safe. A process may stop for any time between
+// its look at the lease and the sending, so what makes a late act harmless is that it was decided
+// durably before (see intents.hpp).
+#pragma once
+#include <optional>
+
+#include "dunlinknot/runtime/clock.hpp"
+
+namespace dunlinknot::duties {
+
+enum class LeaseState : uint8_t {
+  candidate,  // wants the duty
+  holding,    // proved recently enough: may act
+  doubtful,   // held as far as is known, but the last proof is too old: may not act
+  lost,       // somebody else holds it, or nobody does
+};
+
+struct Holding {
+  uint64_t token = 0;  // of this holding alone; later holdings have higher ones
+  uint64_t stamp = 0;  // of the duty's key: every transaction under the duty guards it
+};
+
+class Lease {
+ public:
+  // `ttl` is what the state service grants; the clocks' drift is taken off.
+  explicit Lease(Nanos ttl);
+
+  // The request that took the duty was sent at `sent`, by a clock that counts suspended time.
+  void acquired(const Holding& holding, Instant sent);
+  // A request sent at `sent` showed that the holding stood.
+  void proved(Instant sent);
+  // Own timers came late: nothing is believed until the next proof.
+  void distrust() { proof_.reset(); }
+  void lose();
+  void stand_again();
+
+  LeaseState state(Instant now) const;
+  bool may_act(Instant now) const { return state(now) == LeaseState::holding; }
+  // Meaningful while the state is holding or doubtful.
+  const Holding& holding() const { return holding_; }
+
+ private:
+  enum class Phase : uint8_t { candidate, held, lost };
+
+  Nanos validity_;
+  Phase phase_ = Phase::candidate;
+  Holding holding_;
+  std::optional<Instant> proof_;
+};
+
+}  // namespace dunlinknot::duties
--- /dev/null
+++ b/src/dunlinknot/duties/records.cpp
@@ -0,0 +1,126 @@
+#include "dunlinknot/duties/records.hpp"
+
+namespace dunlinknot::duties {
+
+namespace {
+
+using wire::View;
+using wire::Writer;
+
+constexpr std::string_view kRentPrefix = "intent/rent/";
+constexpr std::string_view kReturnPrefix = "intent/return/";
+constexpr uint64_t kMostMachines = 50;  // that the cloud rents in one request
+
+std::string join(std::string_view a, std::string_view b) {
+  std::string out(a);
+  out.append(b);
+  return out;
+}
+
+std::string_view after_prefix(std::string_view key, std::string_view prefix) {
+  return key.starts_with(prefix) ? key.substr(prefix.size()) : std::string_view();
+}
+
+// Why a record cannot be taken as it is, if its version or token says so.
+std::optional<RecordError> check_version(View value) {
+  const auto version = value["v"].count();
+  if (!version || *version == 0) return RecordError::damaged;
+  if (*version > kRecordVersion) return RecordError::newer;
+  if (!value["token"].count()) return RecordError::damaged;
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string_view text(RecordError error) {
+  return error == RecordError::newer ? "it was written by a later version" : "it cannot be read";
+}
+
+std::string duty_key(Duty duty) {
+  return join(kDutyPrefix, name(duty));
+}
+std::string rent_key(std::string_view request) {
+  return join(kRentPrefix, request);
+}
+std::string return_key(std::string_view machine) {
+  return join(kReturnPrefix, machine);
+}
+std::string_view rent_name(std::string_view key) {
+  return after_prefix(key, kRentPrefix);
+}
+std::string_view return_name(std::string_view key) {
+  return after_prefix(key, kReturnPrefix);
+}
+
+std::string write_holder(const HolderRecord& record) {
+  Writer w;
+  w.map(3).key("v").count(kRecordVersion).key("token").count(record.token);
+  w.key("node").text(record.node);
+  return w.take();
+}
+
+Read<HolderRecord> read_holder(View value) {
+  if (const auto error = check_version(value)) return *error;
+  const auto node = value["node"].text();
+  if (!node) return RecordError::damaged;
+  return HolderRecord{std::string(*node), *value["token"].count()};
+}
+
+std::string write_token(uint64_t token) {
+  Writer w;
+  w.map(2).key("v").count(kRecordVersion).key("token").count(token);
+  return w.take();
+}
+
+Read<uint64_t> read_token(View value) {
+  if (const auto error = check_version(value)) return *error;
+  return *value["token"].count();
+}
+
+std::string write_rent_intent(const RentIntent& intent) {
+  Writer w;
+  w.map(8).key("v").count(kRecordVersion).key("token").count(intent.token);
+  w.key("request").text(intent.request).key("type").text(intent.type);
+  w.key("zone").text(intent.zone).key("spot").flag(intent.spot);
+  w.key("count").count(intent.count).key("job").text(intent.job);
+  return w.take();
+}
+
+Read<RentIntent> read_rent_intent(std::string_view key, View value) {
+  if (const auto error = check_version(value)) return *error;
+  const auto request = value["request"].text();
+  const auto type = value["type"].text();
+  const auto zone = value["zone"].text();
+  const auto spot = value["spot"].flag();
+  const auto count = value["count"].count();
+  if (!request || *request != rent_name(key) || !type || !zone || !spot) {
+    return RecordError::damaged;
+  }
+  if (!count || *count == 0 || *count > kMostMachines) return RecordError::damaged;
+  RentIntent intent;
+  intent.request = *request;
+  intent.type = *type;
+  intent.zone = *zone;
+  intent.spot = *spot;
+  intent.count = static_cast<uint32_t>(*count);
+  intent.job = value["job"].text().value_or("");
+  intent.token = *value["token"].count();
+  return intent;
+}
+
+std::string write_return_intent(const ReturnIntent& intent) {
+  Writer w;
+  w.map(4).key("v").count(kRecordVersion).key("token").count(intent.token);
+  w.key("machine").text(intent.machine).key("reason").text(intent.reason);
+  return w.take();
+}
+
+Read<ReturnIntent> read_return_intent(std::string_view key, View value) {
+  if (const auto error = check_version(value)) return *error;
+  const auto machine = value["machine"].text();
+  if (!machine || *machine != return_name(key)) return RecordError::damaged;
+  return ReturnIntent{std::string(*machine), std::string(value["reason"].text().value_or("")),
+                      *value["token"].count()};
+}
+
+}  // namespace dunlinknot::duties
--- /dev/null
+++ b/src/dunlinknot/duties/records.hpp
@@ -0,0 +1,68 @@
+// What the duties keep in the state service:
+//
+//   duty/NAME         lease-bound: who holds the duty, and under which token
+//   duty/token        the highest token given to any holding so far
+//   intent/rent/NAME  a rental that is decided and not settled
+//   intent/return/VM  a machine that is decided to be returned
+//
+// Each record bears the version of its form. A record of a later version, or one that cannot be
+// read, is never guessed at or overwritten.
+#pragma once
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "dunlinknot/duties/duty.hpp"
+#include "dunlinknot/wire/pack.hpp"
+
+namespace dunlinknot::duties {
+
+inline constexpr uint64_t kRecordVersion = 1;
+inline constexpr std::string_view kDutyPrefix = "duty/";
+inline constexpr std::string_view kTokenKey = "duty/token";
+inline constexpr std::string_view kIntentPrefix = "intent/";
+
+struct HolderRecord {
+  std::string node;
+  uint64_t token = 0;
+};
+
+struct RentIntent {
+  std::string request;  // the name under which the cloud is asked
+  std::string type;
+  std::string zone;
+  bool spot = false;
+  uint32_t count = 0;
+  std::string job;  // that it is for, first of all
+  uint64_t token = 0;
+};
+
+struct ReturnIntent {
+  std::string machine;
+  std::string reason;
+  uint64_t token = 0;
+};
+
+enum class RecordError : uint8_t { damaged, newer };
+std::string_view text(RecordError error);
+
+template <class Record>
+using Read = std::variant<Record, RecordError>;
+
+std::string duty_key(Duty duty);
+std::string rent_key(std::string_view request);
+std::string return_key(std::string_view machine);
+// The request's or machine's name in a key of that kind; empty for any other key.
+std::string_view rent_name(std::string_view key);
+std::string_view return_name(std::string_view key);
+
+std::string write_holder(const HolderRecord& record);
+Read<HolderRecord> read_holder(wire::View value);
+std::string write_token(uint64_t token);
+Read<uint64_t> read_token(wire::View value);
+std::string write_rent_intent(const RentIntent& intent);
+Read<RentIntent> read_rent_intent(std::string_view key, wire::View value);
+std::string write_return_intent(const ReturnIntent& intent);
+Read<ReturnIntent> read_return_intent(std::string_view key, wire::View value);
+
+}  // namespace dunlinknot::duties
--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -8,158 +8,51 @@
 
 namespace {
 
-using cluster::Effects;
 using cluster::Host;
 using cluster::LeaderState;
-using http::Outcome;
 
 constexpr auto kListEvery = std::chrono::seconds(3);
 constexpr double kListShare = 0.5;  // of the cloud's requests, for listing many machines
 constexpr auto kCatalogEvery = std::chrono::seconds(45);
-constexpr auto kRepeat = Millis(1500);
-constexpr uint32_t kMaxRentals = 24;
-constexpr int kMostPause = 8;  // times the first
 constexpr Seconds kBootSlack{15};
-constexpr size_t kMaxDeletion = 100;    // the cloud takes no more in one call
 constexpr double kReportSpread = 1.25;  // reports come every period, give or take a quarter
 constexpr Seconds kReportSlack{1};
 
 }  // namespace
 
-Fleet::Fleet(cluster::LeaderContext& context, cloud::Client& cloud)
-    : context_(context), cloud_(cloud) {}
+Fleet::Fleet(cluster::LeaderContext& context, cloud::Client& cloud, duties::Duties* duties)
+    : context_(context),
+      cloud_(cloud),
+      duties_(duties),
+      rentals_(context, cloud, duties),
+      returns_(context, cloud, duties, rentals_) {}
 
 void Fleet::begin_term() {
-  counter_ = 0;
-  rentals_.clear();
-  in_flight_.clear();
-  refusals_.clear();
-  discards_.clear();
-  removing_ = false;
+  rentals_.begin_term();
+  returns_.begin_term();
+  if (duties_) duties_->intents.begin_term();
 }
 
-scheduler::Market Fleet::market(Instant now) {
-  scheduler::Market m;
-  for (const auto& r : rentals_) m.pending.emplace_back(r.offer, r.count);
-  for (const auto& [offer, r] : refusals_) {
-    if (r.until > now) m.refused.insert(offer);
-  }
-  return m;
-}
-
-// Each refusal in a row doubles the pause: what the cloud does not have it will mostly not have in
-// a moment either, and while the cheapest offers were asked for over and over, dearer ones that
-// were there to be had were never reached. A machine of ours that goes makes room: then the pause
-// ends.
-void Fleet::refused(const scheduler::Offer& offer, Instant now) {
-  Refusal& r = refusals_[offer];
-  const Nanos first = to_nanos(context_.op.refusal_pause);
-  r.pause = r.pause == Nanos(0) ? first : std::min(r.pause * 2, first * kMostPause);
-  r.until = now + r.pause;
-  std::erase_if(rentals_, [&](const Rental& x) {
-    return x.offer == offer && x.tries == 0 && !in_flight_.contains(x.request);
-  });
-}
-
-void Fleet::order(const std::vector<scheduler::CapacityRequest>& capacity_requests) {
-  for (const auto& w : capacity_requests) {
-    if (rentals_.size() >= kMaxRentals) return;  // the next round capacity_requests again
-    const bool asked = std::any_of(rentals_.begin(), rentals_.end(),
-                                   [&](const Rental& x) { return x.offer == w.offer; });
-    if (asked) continue;  // one question at a time for each offer
-    Rental r;
-    r.request = "h-" + std::to_string(context_.epoch) + "-" + std::to_string(++counter_);
-    r.offer = w.offer;
-    r.count = std::min(w.count, 50u);
-    r.job = w.job;
-    spdlog::info("renting {} x {} {} in {} for {} as {}", r.count,
-                 w.offer.spot ? "spot" : "ordinary", w.offer.type, w.offer.zone, w.job, r.request);
-    rentals_.push_back(std::move(r));
-  }
-  if (!rentals_.empty()) context_.rentals.notify();
-}
-
-Task<void> Fleet::rent(uint64_t term, Rental r) {
-  cloud::RentResult result =
-      co_await cloud_.rent(r.request, r.offer.type, r.offer.zone, r.offer.spot, r.count);
-  if (!context_.in_term(term)) co_return;
-  in_flight_.erase(r.request);
-  const Instant now = context_.loop.now();
-  const auto forget = [&] {
-    std::erase_if(rentals_, [&](const Rental& x) { return x.request == r.request; });
-  };
-  if (result.outcome == Outcome::ok) {
-    forget();
-    spdlog::info("rented {} of {} for {}", result.machines.size(), r.count, r.request);
-    context_.leader_state.with([&](LeaderState& p) {
-      for (const auto& id : result.machines) {
-        p.cluster.learn_host(id, r.offer.type, r.offer.zone, r.offer.spot, now);
-      }
-    });
-    if (!result.machines.empty()) refusals_.erase(r.offer);
-    if (result.machines.size() < r.count) refused(r.offer, now);
-    context_.schedule.notify();
-    co_return;
-  }
-  if (result.no_capacity || (result.outcome == Outcome::refused && cloud_.answering())) {
-    // Certainly not carried out; the scheduler may request_machine for something else.
-    forget();
-    if (result.no_capacity) {
-      refused(r.offer, now);
-      spdlog::info("no capacity for {} {} in {}", r.offer.spot ? "spot" : "ordinary", r.offer.type,
-                   r.offer.zone);
-    }
-    context_.schedule.notify();
-    co_return;
-  }
-  // Trouble, or no answer: the same request again, under its own name only.
-  for (auto& x : rentals_) {
-    if (x.request == r.request && x.tries++ == 0) {
-      spdlog::info("no answer to rental {}: it is repeated", r.request);
-    }
-  }
-  co_await context_.loop.sleep(kRepeat);
-  if (context_.in_term(term)) context_.rentals.notify();
-}
-
-Task<void> Fleet::remove(uint64_t term, std::vector<std::string> machines) {
-  const Outcome r = co_await cloud_.remove(machines);
-  if (!context_.in_term(term)) co_return;
-  removing_ = false;
-  if (r == Outcome::ok) {
-    // By the time of this answer the machines and everything on them are gone.
-    Effects effects;
-    context_.leader_state.with([&](LeaderState& p) {
-      for (const auto& id : machines) {
-        if (const Host* h = p.cluster.host(id)) refusals_.erase({h->type, h->zone, h->spot});
-        effects |= p.cluster.remove_host(id, context_.loop.now());
-      }
-    });
-    context_.follow_up(effects);
-  } else {
-    for (const auto& id : machines) discards_.push_back(id);
-    co_await context_.loop.sleep(kRepeat);
-    if (!context_.in_term(term)) co_return;
-  }
-  context_.rentals.notify();
+Task<bool> Fleet::take_duties(uint64_t term) {
+  if (!duties_) co_return true;
+  const bool held = co_await duties_->holder.acquire(term);
+  if (!held) co_return false;
+  const std::optional<duties::OpenIntents> open = co_await duties_->intents.load(term);
+  if (!open) co_return false;
+  rentals_.resume(open->rentals);
+  returns_.resume(*open);
+  context_.loop.spawn(duties_->holder.keep(term));
+  context_.loop.spawn(duties_->intents.remove_ended(term));
+  co_return true;
 }
 
 Task<void> Fleet::work(uint64_t term) {
   while (context_.in_term(term)) {
-    for (const auto& r : rentals_) {
-      if (in_flight_.size() >= 4) break;
-      if (r.tries > 0 && !in_flight_.empty() && !cloud_.answering()) break;
-      if (in_flight_.insert(r.request).second) context_.loop.spawn(rent(term, r));
-    }
-    if (!removing_ && !discards_.empty()) {
-      std::vector<std::string> batch;
-      while (!discards_.empty() && batch.size() < kMaxDeletion) {
-        batch.push_back(std::move(discards_.front()));
-        discards_.pop_front();
-      }
-      removing_ = true;
-      context_.loop.spawn(remove(term, std::move(batch)));
-    }
+    co_await rentals_.record(term);
+    if (context_.in_term(term)) co_await returns_.record(term);
+    if (!context_.in_term(term)) co_return;
+    rentals_.send(term);
+    returns_.send(term);
     (void)co_await context_.rentals.wait();
   }
 }
@@ -209,6 +102,7 @@
         changed = true;
         spdlog::info("machine {} ({} in {}) found in the list", m.id, m.type, m.zone);
       }
+      h.listed = true;
       h.listed_running |= m.state == MachineState::running;
       if (h.address.empty()) h.address = m.address;
       if (m.state == MachineState::failed && !h.listed_failed) {
@@ -218,23 +112,10 @@
       }
     }
   });
-  for (const auto& id : failed) discard(id, "it failed");
+  for (const auto& id : failed) returns_.decide(id, "it failed");
   if (changed) context_.schedule.notify();
 }
 
-void Fleet::discard(const std::string& id, std::string_view why) {
-  const bool go = context_.leader_state.with([&](LeaderState& p) {
-    Host* h = p.cluster.host(id);
-    if (!h || h->deleting) return false;
-    h->deleting = true;
-    return true;
-  });
-  if (!go) return;
-  spdlog::info("returning machine {}: {}", id, why);
-  discards_.push_back(id);
-  context_.rentals.notify();
-}
-
 void Fleet::sweep(std::vector<std::string> wanted, size_t waiting_tasks, Instant now) {
   std::sort(wanted.begin(), wanted.end());
   std::vector<std::pair<std::string, std::string>> out;
@@ -287,7 +168,13 @@
       }
     }
   });
-  for (const auto& [id, why] : out) discard(id, why);
+  for (const auto& [id, why] : out) returns_.decide(id, why);
+  returns_.release_resumed();
+  if (duties_) {
+    rentals_.settle(now);
+    // What could not be recorded or sent is tried again.
+    context_.rentals.notify();
+  }
 }
 
 }  // namespace dunlinknot::fleet
--- /dev/null
+++ b/src/dunlinknot/fleet/returns.cpp
@@ -0,0 +1,138 @@
+#include "dunlinknot/fleet/returns.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace dunlinknot::fleet {
+
+namespace {
+
+using cluster::Effects;
+using cluster::Host;
+using cluster::LeaderState;
+using duties::Duty;
+using http::Outcome;
+
+constexpr auto kRepeat = Millis(1500);
+constexpr size_t kMaxDeletion = 100;  // the cloud takes no more in one call
+
+}  // namespace
+
+Returns::Returns(cluster::LeaderContext& context, cloud::Client& cloud, duties::Duties* duties,
+                 Rentals& rentals)
+    : context_(context), cloud_(cloud), duties_(duties), rentals_(rentals) {}
+
+void Returns::begin_term() {
+  unrecorded_.clear();
+  ready_.clear();
+  resumed_.clear();
+  removing_ = false;
+}
+
+void Returns::resume(const duties::OpenIntents& open) {
+  context_.leader_state.with([&](LeaderState& p) {
+    for (const duties::ReturnIntent& intent : open.returns) {
+      p.cluster.mark_returning(intent.machine);
+      resumed_.insert(intent.machine);
+    }
+    // What stands in an unreadable intent is not known, only which machine it is about: it gets no
+    // work, and it is not deleted.
+    for (const duties::UnreadableIntent& intent : open.unreadable) {
+      const std::string_view machine = duties::return_name(intent.key);
+      if (!machine.empty()) p.cluster.mark_returning(std::string(machine));
+    }
+  });
+}
+
+void Returns::decide(const std::string& machine, std::string_view why) {
+  const bool first = context_.leader_state.with([&](LeaderState& p) {
+    Host* h = p.cluster.host(machine);
+    if (!h || h->deleting) return false;
+    h->deleting = true;
+    return true;
+  });
+  if (!first) return;
+  spdlog::info("returning machine {}: {}", machine, why);
+  if (duties_) {
+    unrecorded_.push_back({machine, std::string(why)});
+  } else {
+    ready_.push_back(machine);
+  }
+  context_.rentals.notify();
+}
+
+void Returns::release_resumed() {
+  if (resumed_.empty()) return;
+  std::vector<std::string> ready;
+  context_.leader_state.with([&](LeaderState& p) {
+    for (const std::string& machine : resumed_) {
+      const Host* h = p.cluster.host(machine);
+      if (!h || h->bookings.empty()) ready.push_back(machine);
+    }
+  });
+  for (const std::string& machine : ready) {
+    spdlog::info("returning machine {}: a former holder decided so", machine);
+    resumed_.erase(machine);
+    ready_.push_back(machine);
+  }
+  if (!ready.empty()) context_.rentals.notify();
+}
+
+Task<void> Returns::record(uint64_t term) {
+  if (!duties_ || unrecorded_.empty()) co_return;
+  std::vector<duties::ReturnIntent> intents;
+  for (const Decision& decision : unrecorded_) {
+    if (intents.size() >= duties_->intents.max_batch()) break;
+    intents.push_back({decision.machine, decision.why, 0});
+  }
+  const bool durable = co_await duties_->intents.record_returns(term, intents);
+  if (!context_.in_term(term) || !durable) co_return;
+  for (size_t i = 0; i < intents.size(); ++i) {
+    ready_.push_back(std::move(unrecorded_.front().machine));
+    unrecorded_.pop_front();
+  }
+  if (!unrecorded_.empty()) context_.rentals.notify();
+}
+
+void Returns::send(uint64_t term) {
+  if (removing_ || ready_.empty()) return;
+  if (duties_ && !duties_->holder.may_act(Duty::give_back)) return;
+  const size_t count = std::min(ready_.size(), kMaxDeletion);
+  const auto end = ready_.begin() + static_cast<ptrdiff_t>(count);
+  std::vector<std::string> batch(std::make_move_iterator(ready_.begin()),
+                                 std::make_move_iterator(end));
+  ready_.erase(ready_.begin(), end);
+  removing_ = true;
+  context_.loop.spawn(remove(term, std::move(batch)));
+}
+
+Task<void> Returns::remove(uint64_t term, std::vector<std::string> machines) {
+  const Outcome outcome = co_await cloud_.remove(machines);
+  if (!context_.in_term(term)) co_return;
+  removing_ = false;
+  if (outcome == Outcome::ok) {
+    removed(machines);
+  } else {
+    ready_.insert(ready_.end(), machines.begin(), machines.end());
+    co_await context_.loop.sleep(kRepeat);
+    if (!context_.in_term(term)) co_return;
+  }
+  context_.rentals.notify();
+}
+
+// By the time of the cloud's answer the machines and everything on them are gone.
+void Returns::removed(const std::vector<std::string>& machines) {
+  Effects effects;
+  context_.leader_state.with([&](LeaderState& p) {
+    for (const auto& id : machines) {
+      if (const Host* h = p.cluster.host(id)) rentals_.end_refusal({h->type, h->zone, h->spot});
+      effects |= p.cluster.remove_host(id, context_.loop.now());
+    }
+  });
+  context_.follow_up(effects);
+  if (!duties_) return;
+  for (const auto& id : machines) duties_->intents.end_return(id);
+}
+
+}  // namespace dunlinknot::fleet
--- a/src/dunlinknot/node/daemon.cpp
+++ b/src/dunlinknot/node/daemon.cpp
@@ -72,8 +72,13 @@
                [this](const std::string& id, uint32_t tasks) {
                  jobs_.finals().put(id, {false, tasks});
                },
-               [this](Instant sent) { elector_.saw_cancellations(sent); }}),
-      fleet_(context_, cloud_) {}
+               [this](Instant sent) { elector_.saw_cancellations(sent); },
+               [this] { return cleanup_guards(); },
+               [this](const state::TxnResult& result, Instant sent) {
+                 take_cleanup_result(result, sent);
+               }}),
+      duties_(op.duties ? std::make_unique<duties::Duties>(context_, state_) : nullptr),
+      fleet_(context_, cloud_, duties_.get()) {}
 
 void Daemon::start() {
   http::ServerOptions options;
@@ -253,7 +258,22 @@
   loop_.spawn(take_over(context_.term));
 }
 
+// What a removal of records has to guard; nothing while this node may not do it.
+std::optional<std::vector<state::Guard>> Daemon::cleanup_guards() const {
+  if (!duties_) return {{{std::string(wire::kEpochKey), context_.epoch_stamp}}};
+  if (!duties_->holder.may_act(duties::Duty::cleanup)) return std::nullopt;
+  return duties_->holder.guards(duties::Duty::cleanup);
+}
+
+void Daemon::take_cleanup_result(const state::TxnResult& result, Instant sent) {
+  if (duties_) duties_->holder.take_result(duties::Duty::cleanup, result, sent);
+}
+
 void Daemon::lost(uint64_t) {
+  if (duties_) {
+    duties_->holder.lose();
+    loop_.spawn(duties_->holder.release());
+  }
   context_.epoch = 0;
   context_.loaded = false;
   ++context_.term;
@@ -267,6 +287,8 @@
 Task<void> Daemon::take_over(uint64_t term) {
   const Instant started = loop_.now();
   if (!co_await ledger_.load(term)) co_return;
+  const bool duties_taken = co_await fleet_.take_duties(term);
+  if (!duties_taken) co_return;
   context_.loaded = true;
   const auto [jobs, hosts, bookings] = context_.leader_state.with([](LeaderState& p) {
     return std::tuple(p.cluster.jobs().size(), p.cluster.hosts().size(), p.cluster.booking_count());
--- a/src/dunlinknot/node/daemon.hpp
+++ b/src/dunlinknot/node/daemon.hpp
@@ -4,6 +4,7 @@
 
 #include "dunlinknot/cloud/client.hpp"
 #include "dunlinknot/cluster/ledger.hpp"
+#include "dunlinknot/duties/duties.hpp"
 #include "dunlinknot/fleet/fleet.hpp"
 #include "dunlinknot/http/server.hpp"
 #include "dunlinknot/jobs/request_handler.hpp"
@@ -29,6 +30,7 @@
   const leadership::Elector& elector() const { return elector_; }
   cluster::LeaderContext& context() { return context_; }
   leadership::Peers& peers() { return peers_; }
+  const duties::Duties* duties() const { return duties_.get(); }
   wire::peer::Status status() const;
   void heard_cancelled(const std::string& id);  // a peer told its user so
 
@@ -44,6 +46,8 @@
   Task<void> report_counts();
   void report_cluster();
   Task<bool> ready();
+  std::optional<std::vector<state::Guard>> cleanup_guards() const;
+  void take_cleanup_result(const state::TxnResult& result, Instant sent);
   wire::peer::Progress progress();
   bool may_renew() const;
   void told_cancelled(const std::string& id);
@@ -60,6 +64,7 @@
   jobs::RequestHandler jobs_;
   workers::ReportHandler workers_;
   cluster::Ledger ledger_;
+  std::unique_ptr<duties::Duties> duties_;  // null when they are off
   fleet::Fleet fleet_;
   std::vector<MachineType> catalog_;
   std::unique_ptr<http::Server> server_;
--- a/src/dunlinknot/runtime/clock.hpp
+++ b/src/dunlinknot/runtime/clock.hpp
@@ -2,6 +2,7 @@
 // and deadlines; the time of day is used only to date submissions.
 #pragma once
 #include <chrono>
+#include <ctime>
 
 namespace dunlinknot {
 
@@ -26,6 +27,8 @@
   virtual ~Clock() = default;
   virtual Instant now() const = 0;
   virtual WallTime wall() const = 0;
+  // Counts the time for which the machine was suspended, too. Only to be compared with itself.
+  virtual Instant boot() const { return now(); }
 };
 
 class SystemClock final : public Clock {
@@ -34,6 +37,11 @@
   WallTime wall() const override {
     return std::chrono::time_point_cast<Millis>(std::chrono::system_clock::now());
   }
+  Instant boot() const override {
+    timespec t{};
+    if (clock_gettime(CLOCK_BOOTTIME, &t) != 0) return now();
+    return Instant(std::chrono::seconds(t.tv_sec) + Nanos(t.tv_nsec));
+  }
 };
 
 }  // namespace dunlinknot
--- a/src/dunlinknot/runtime/loop.hpp
+++ b/src/dunlinknot/runtime/loop.hpp
@@ -33,6 +33,7 @@
 
   Instant now() const { return clock_.now(); }
   WallTime wall() const { return clock_.wall(); }
+  Instant boot_now() const { return clock_.boot(); }
 
   // Runs a coroutine on its own. An exception that escapes one is logged and ends only that one.
   void spawn(Task<void> task);
--- a/src/dunlinknot/settings/settings.cpp
+++ b/src/dunlinknot/settings/settings.cpp
@@ -283,6 +283,9 @@
 Field whole(double least, double most, uint32_t Operator::*at) {
   return {least, most, [at](Operator& o, double v) { o.*at = static_cast<uint32_t>(v); }, "", true};
 }
+Field on_or_off(bool Operator::*at) {
+  return {0, 1, [at](Operator& o, double v) { o.*at = v != 0; }, "", true};
+}
 Field ratio(double least, double most, double Operator::*at) {
   return {least, most, [at](Operator& o, double v) { o.*at = v; }, "", false};
 }
@@ -301,6 +304,10 @@
         {"refusal-pause", seconds(1, 3600, &Operator::refusal_pause)},
         {"max-machines", whole(1, 100'000, &Operator::max_machines)},
         {"faults-to-drain", whole(1, 1000, &Operator::faults_to_drain)}}},
+      {"duties",
+       {{"on", on_or_off(&Operator::duties)},
+        {"ttl", seconds(1, 60, &Operator::duties_ttl)},
+        {"renew-every", seconds(0.1, 20, &Operator::duties_renew)}}},
       {"scheduler",
        {{"round-pause", seconds(0.01, 10, &Operator::round_pause)},
         {"backoff-first", seconds(0.1, 3600, &Operator::backoff_first)},
@@ -354,6 +361,14 @@
       f.set(out, v);
     }
   }
+  // A lease that one or two lost renewals end would change hands on a healthy cluster.
+  constexpr double kLeastRenewals = 3;
+  if (out.duties && out.duties_ttl < out.duties_renew * kLeastRenewals) {
+    std::ostringstream what;
+    what << "duties/ttl: must be at least " << kLeastRenewals << " times duties/renew-every ("
+         << out.duties_renew.count() << " s)";
+    fail(root.child("duties"), what.str());
+  }
   return out;
 }
 
