Duties: own rentals wait for the first list after a take-over, no longer for a fixed time

Cause: a fixed wait of one and a half report periods delayed the first rental of every term (found by running all tests with the duties on: Machines.ACutOneComesBack... started nothing in 6 s). A machine is in the cloud's list or in an open intent, so the first full list is what has to be known.

--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -69,7 +69,10 @@
       if (!list) break;
       ++pages;
       take_list(list->machines, context_.loop.now());
-      if (!list->more || list->machines.empty()) break;
+      if (!list->more || list->machines.empty()) {
+        rentals_.list_was_read();
+        break;
+      }
       after = list->machines.back().id;
     }
     if (context_.loop.now() >= next_catalog) {
--- a/src/dunlinknot/fleet/rentals.cpp
+++ b/src/dunlinknot/fleet/rentals.cpp
@@ -19,9 +19,8 @@
 constexpr uint32_t kMaxRentals = 24;
 constexpr uint32_t kMaxCount = 50;  // machines, the cloud's limit for one request
 constexpr size_t kMaxInFlight = 4;
-constexpr int kMostPause = 8;          // times the first
-constexpr double kListLagSpread = 2;   // the list lags by up to so many times its usual lag
-constexpr double kReportSpread = 1.5;  // until every idle machine has reported to a new leader
+constexpr int kMostPause = 8;         // times the first
+constexpr double kListLagSpread = 2;  // the list lags by up to so many times its usual lag
 
 std::string_view kind(const scheduler::Offer& offer) {
   return offer.spot ? "spot" : "ordinary";
@@ -38,10 +37,7 @@
   in_flight_.clear();
   refusals_.clear();
   unseen_.clear();
-  order_from_ = Instant{};
-  if (duties_) {
-    order_from_ = context_.loop.now() + to_nanos(context_.platform.report * kReportSpread);
-  }
+  list_read_ = false;
 }
 
 void Rentals::resume(const std::vector<duties::RentIntent>& intents) {
@@ -95,7 +91,7 @@
 }
 
 void Rentals::order(const std::vector<scheduler::CapacityRequest>& capacity_requests) {
-  if (context_.loop.now() < order_from_) return;
+  if (duties_ && !list_read_) return;
   for (const auto& request : capacity_requests) {
     auto* same = cluster::find_where(
         rentals_, [&](const Rental& rental) { return rental.offer == request.offer; });
--- a/src/dunlinknot/fleet/rentals.hpp
+++ b/src/dunlinknot/fleet/rentals.hpp
@@ -24,6 +24,8 @@
   // Goes on with what a former holder decided. Its requests may have been sent, or may yet be.
   void resume(const std::vector<duties::RentIntent>& intents);
 
+  // The whole list of machines was read.
+  void list_was_read() { list_read_ = true; }
   scheduler::Market market(Instant now) const;
   void order(const std::vector<scheduler::CapacityRequest>& capacity_requests);
   // Makes new requests durable; a failure is tried again with the next call.
@@ -66,8 +68,10 @@
   cloud::Client& cloud_;
   duties::Duties* duties_;
   uint64_t counter_ = 0;
-  Instant order_from_{};         // own requests wait until the picture after a take-over is steady
-  std::vector<Rental> rentals_;  // ordered and not answered
+  // Whether the cloud's list was read in this term. A machine is in it, or in an open intent:
+  // before both are known, what a former leader rented would be rented again.
+  bool list_read_ = false;
+  std::vector<Rental> rentals_;      // ordered and not answered
   std::set<std::string> in_flight_;  // of them, the ones being asked for now
   std::map<scheduler::Offer, Refusal> refusals_;
   std::map<std::string, std::set<std::string>> unseen_;  // machines of answered requests, by name
