--- a/src/dunlinknot/duties/holder.cpp
+++ b/src/dunlinknot/duties/holder.cpp
@@ -12,7 +12,7 @@
 
 constexpr Millis kCallTime{700};
 constexpr Millis kRetry{150};
-constexpr auto kDamagedRetry = std::chrono::seconds(5);
+constexpr Nanos kHaltedRetry = std::chrono::seconds(5);
 constexpr int kLateWakeShare = 2;  // of the lease: a timer later than its half is distrusted
 
 state::Guard epoch_guard(const cluster::LeaderContext& context) {
@@ -44,11 +44,14 @@
 }
 
 void Holder::take_result(Duty duty, const state::TxnResult& result, Instant sent) {
+  if (result.outcome == Outcome::unknown) writes_unsettled_[static_cast<size_t>(duty)] = true;
   if (result.outcome != Outcome::ok) return;
   if (!result.guard_failed(duty_key(duty))) {
     lease(duty).proved(sent);
     return;
   }
+  // Our own new stamp came between (settle_writes).
+  if (sent < restamped_[static_cast<size_t>(duty)]) return;
   spdlog::info("duties: {} under token {} is lost: its key was changed or removed", name(duty),
                token(duty));
   lease(duty).lose();
@@ -64,7 +67,7 @@
       if (const auto* error = std::get_if<RecordError>(&read)) {
         // Without it no token is known to be higher than all before.
         spdlog::error("duties: {} is left alone, and no duty is taken: {}", item.key, text(*error));
-        co_await context_.loop.sleep(kDamagedRetry);
+        halted_ = true;
         co_return std::nullopt;
       }
       stamps.token = std::get<uint64_t>(read);
@@ -93,23 +96,56 @@
   uint64_t stamp = result.revision;
   if (!result.applied) {
     if (result.outcome != Outcome::unknown) co_return false;
-    // The lease bound to the key tells our own attempt from any other.
     sent = context_.loop.boot_now();
-    const state::GetResult got =
-        co_await state_.get(duty_key(duty), kCallTime, state::Importance::essential);
-    if (!context_.in_term(term) || got.outcome != Outcome::ok || !got.found) co_return false;
-    const auto read = read_holder(got.item.value);
-    const auto* record = std::get_if<HolderRecord>(&read);
-    if (!record || record->token != token || got.item.lease != grant_) co_return false;
-    stamp = got.item.stamp;
+    const std::optional<uint64_t> own = co_await stamp_of_own(term, duty, token);
+    if (!own) co_return false;
+    stamp = *own;
   }
   stamps.token = token;
   stamps.token_stamp = stamp;
   lease(duty).acquired({token, stamp}, sent);
+  writes_unsettled_[static_cast<size_t>(duty)] = false;
   spdlog::info("duties: {} held under token {}", name(duty), token);
   co_return true;
 }
 
+// The stamp of the duty's key if it is as this process wrote it under that token: the lease bound
+// to the key tells our own attempt from any other.
+Task<std::optional<uint64_t>> Holder::stamp_of_own(uint64_t term, Duty duty, uint64_t token) {
+  const state::GetResult got =
+      co_await state_.get(duty_key(duty), kCallTime, state::Importance::essential);
+  if (!context_.in_term(term) || got.outcome != Outcome::ok || !got.found) co_return std::nullopt;
+  const auto read = read_holder(got.item.value);
+  const auto* record = std::get_if<HolderRecord>(&read);
+  if (!record || record->token != token || got.item.lease != grant_) co_return std::nullopt;
+  co_return got.item.stamp;
+}
+
+Task<bool> Holder::settle_writes(uint64_t term, Duty duty) {
+  bool& unsettled = writes_unsettled_[static_cast<size_t>(duty)];
+  if (!unsettled) co_return true;
+  if (!may_act(duty)) co_return false;
+  const Holding before = lease(duty).holding();
+  state::Txn txn;
+  txn.guards = guards(duty);
+  txn.writes.push_back(
+      {duty_key(duty), write_holder({context_.platform.node, before.token}), grant_});
+  const Instant sent = context_.loop.boot_now();
+  const state::TxnResult result =
+      co_await state_.commit(std::move(txn), kCallTime, state::Importance::essential);
+  if (!context_.in_term(term)) co_return false;
+  take_result(duty, result, sent);
+  std::optional<uint64_t> stamp;
+  if (result.applied) stamp = result.revision;
+  if (result.outcome == Outcome::unknown) stamp = co_await stamp_of_own(term, duty, before.token);
+  // An unchanged stamp: this transaction, too, may yet be carried out.
+  if (!stamp || *stamp == before.stamp || !may_act(duty)) co_return false;
+  lease(duty).acquired({before.token, *stamp}, sent);
+  restamped_[static_cast<size_t>(duty)] = context_.loop.boot_now();
+  unsettled = false;
+  co_return true;
+}
+
 Task<bool> Holder::try_acquire(uint64_t term) {
   const state::LeaseResult granted =
       co_await state_.grant(to_millis(to_nanos(context_.op.duties_ttl)), kCallTime);
@@ -124,17 +160,19 @@
   co_return true;
 }
 
-Task<bool> Holder::acquire(uint64_t term) {
+Task<Holder::Acquired> Holder::acquire(uint64_t term) {
+  halted_ = false;
   while (context_.in_term(term)) {
     for (Lease& each : leases_) {
       each.lose();
       each.stand_again();
     }
     const bool acquired = co_await try_acquire(term);
-    if (acquired) co_return true;
+    if (acquired) co_return Acquired::held;
+    if (halted_) co_return Acquired::halted;
     if (context_.in_term(term)) co_await context_.loop.sleep(kRetry);
   }
-  co_return false;
+  co_return Acquired::term_over;
 }
 
 Task<void> Holder::keep(uint64_t term) {
@@ -155,18 +193,21 @@
     if (renewed.outcome == Outcome::ok && !renewed.gone) proved = co_await prove();
     if (!context_.in_term(term)) co_return;
     planned = woke + (proved ? every : std::min<Nanos>(every, kRetry * 2));
-    const bool lost = std::any_of(kAllDuties.begin(), kAllDuties.end(),
-                                  [&](Duty duty) { return state(duty) == LeaseState::lost; });
-    if (renewed.gone || lost) {
-      spdlog::info("duties: the lease ended while this node leads on: they are taken again");
-      const bool acquired = co_await acquire(term);
-      if (!acquired) co_return;
-      planned = context_.loop.boot_now() + every;
-      context_.rentals.notify();
-    }
+    if (!renewed.gone && all_held()) continue;
+    spdlog::info("duties: not all are held while this node leads: they are taken again");
+    const Acquired acquired = co_await acquire(term);
+    if (acquired == Acquired::term_over) co_return;
+    planned = context_.loop.boot_now() + (acquired == Acquired::held ? every : kHaltedRetry);
+    context_.rentals.notify();
   }
 }
 
+bool Holder::all_held() const {
+  return std::none_of(kAllDuties.begin(), kAllDuties.end(), [&](Duty duty) {
+    return state(duty) == LeaseState::lost || state(duty) == LeaseState::candidate;
+  });
+}
+
 // A renewed lease alone proves nothing: a successor may have put its own record under the keys. A
 // transaction that only compares shows that they stand as we wrote them.
 Task<bool> Holder::prove() {
--- a/src/dunlinknot/duties/holder.hpp
+++ b/src/dunlinknot/duties/holder.hpp
@@ -19,9 +19,10 @@
  public:
   Holder(cluster::LeaderContext& context, state::Client& state);
 
-  // Takes all duties; false when the term ended meanwhile.
-  Task<bool> acquire(uint64_t term);
-  // Renews them, and takes them again when the state service ended the lease meanwhile.
+  // Takes all duties; tries until they are held, the term ends, or a record forbids it.
+  enum class Acquired : uint8_t { held, term_over, halted };
+  Task<Acquired> acquire(uint64_t term);
+  // Renews them, and takes them again when they are not held.
   Task<void> keep(uint64_t term);
   // Gives them up, so that nobody has to wait for the lease's end.
   Task<void> release();
@@ -33,8 +34,12 @@
   uint64_t token(Duty duty) const { return lease(duty).holding().token; }
   // What every transaction under the duty has to guard.
   std::vector<state::Guard> guards(Duty duty) const;
-  // A transaction under the duty was answered at all: its guards may tell that it is lost.
+  // What became of a transaction under the duty: its guards may tell that it is lost.
   void take_result(Duty duty, const state::TxnResult& result, Instant sent);
+  // After a transaction under the duty without an answer: gives the duty's key a new stamp, so that
+  // the transaction cannot be carried out any more. What is read afterwards is final. False when
+  // that is not known to have worked.
+  Task<bool> settle_writes(uint64_t term, Duty duty);
 
  private:
   struct Stamps {  // of the duties' keys, as they were read
@@ -45,14 +50,19 @@
   Task<bool> try_acquire(uint64_t term);
   Task<std::optional<Stamps>> read_stamps(uint64_t term);
   Task<bool> take(uint64_t term, Duty duty, Stamps& stamps);
+  Task<std::optional<uint64_t>> stamp_of_own(uint64_t term, Duty duty, uint64_t token);
   Task<bool> prove();
+  bool all_held() const;
   Lease& lease(Duty duty) { return leases_[static_cast<size_t>(duty)]; }
   const Lease& lease(Duty duty) const { return leases_[static_cast<size_t>(duty)]; }
 
   cluster::LeaderContext& context_;
   state::Client& state_;
   std::array<Lease, kAllDuties.size()> leases_;
-  uint64_t grant_ = 0;  // the state service's lease, to which the duties' keys are bound
+  std::array<bool, kAllDuties.size()> writes_unsettled_{};
+  std::array<Instant, kAllDuties.size()> restamped_{};  // when the key last had a new stamp from us
+  bool halted_ = false;  // the record of the last token cannot be read
+  uint64_t grant_ = 0;   // the state service's lease, to which the duties' keys are bound
 };
 
 }  // namespace dunlinknot::duties
--- a/src/dunlinknot/duties/intents.cpp
+++ b/src/dunlinknot/duties/intents.cpp
@@ -87,7 +87,8 @@
 Task<bool> IntentLog::record(uint64_t term, Duty duty, std::vector<Entry> entries) {
   std::erase_if(entries, [&](const Entry& entry) { return stamps_.contains(entry.key); });
   if (entries.empty()) co_return true;
-  if (!holder_.may_act(duty)) co_return false;
+  const bool settled = co_await holder_.settle_writes(term, duty);
+  if (!settled || !holder_.may_act(duty)) co_return false;
   state::Txn txn;
   txn.guards = holder_.guards(duty);
   for (const Entry& entry : entries) {
@@ -108,6 +109,9 @@
   if (result.outcome == Outcome::refused || (result.outcome == Outcome::ok && !stands_already)) {
     co_return false;
   }
+  // Found by a test: applied late, it brought back an intent that was settled and removed by then.
+  const bool final = co_await holder_.settle_writes(term, duty);
+  if (!final) co_return false;
   const bool durable = co_await read_back(term, entries);
   co_return durable;
 }
@@ -150,7 +154,8 @@
 // One transaction over ended intents of one duty.
 Task<bool> IntentLog::remove_batch(uint64_t term) {
   const Duty duty = ended_.front().duty;
-  if (!holder_.may_act(duty)) co_return false;
+  const bool settled = co_await holder_.settle_writes(term, duty);
+  if (!settled || !holder_.may_act(duty)) co_return false;
   std::vector<Ended> batch;
   state::Txn txn;
   txn.guards = holder_.guards(duty);
--- a/src/dunlinknot/fleet/fleet.cpp
+++ b/src/dunlinknot/fleet/fleet.cpp
@@ -35,8 +35,8 @@
 
 Task<bool> Fleet::take_duties(uint64_t term) {
   if (!duties_) co_return true;
-  const bool held = co_await duties_->holder.acquire(term);
-  if (!held) co_return false;
+  const auto acquired = co_await duties_->holder.acquire(term);
+  if (acquired == duties::Holder::Acquired::term_over) co_return false;
   const std::optional<duties::OpenIntents> open = co_await duties_->intents.load(term);
   if (!open) co_return false;
   rentals_.resume(open->rentals);
--- a/tests/cloud_service.cpp
+++ b/tests/cloud_service.cpp
@@ -9,62 +9,96 @@
 using wire::View;
 using wire::Writer;
 
-Task<Reply> CloudService::serve(Call call) {
+Task<Reply> CloudService::serve(Call call, uint64_t sender_token) {
+  const Fate f = fate ? fate(call) : Fate::normal;
   co_await loop_.sleep(Millis(80));
-  if (trouble) co_return reply(503, wire::write_error("trouble"));
-  if (call.target == "/catalog") co_return reply(200, wire::write_catalog(types));
+  if (trouble || f == Fate::refuse) co_return reply(503, wire::write_error("trouble"));
+  if (f == Fate::apply_late) loop_.spawn(execute_later(call, sender_token));
+  if (f == Fate::apply_late || f == Fate::lose_request) {
+    co_await loop_.sleep_until(call.deadline);
+    co_return Reply{};
+  }
+  const uint64_t rentals_before = rentals;
+  Reply out = execute(call, sender_token);
+  const bool lost = lose_rental_replies && rentals > rentals_before;
+  if (f == Fate::lose_reply || lost) {
+    co_await loop_.sleep_until(call.deadline);
+    co_return Reply{};
+  }
+  co_return within_limit(call, std::move(out));
+}
+
+Task<void> CloudService::execute_later(Call call, uint64_t sender_token) {
+  co_await loop_.sleep(late_by);
+  (void)execute(call, sender_token);
+}
+
+Reply CloudService::execute(const Call& call, uint64_t sender_token) {
+  if (call.target == "/catalog") return reply(200, wire::write_catalog(types));
+  if (call.target == "/rentals" && call.method == "POST") return rent(call, sender_token);
+  if (call.target == "/rentals/delete") return remove(call, sender_token);
+  return list(call);
+}
+
+Reply CloudService::rent(const Call& call, uint64_t sender_token) {
   const auto doc = Document::parse(call.body);
-  const View root = doc ? doc->root() : View();
-  if (call.target == "/rentals" && call.method == "POST") {
-    const std::string request(*root["hire"].text());
-    const auto names = [&](const std::vector<std::string>& ids) {
-      Writer w;
-      w.map(1).key("hosts").list(ids.size());
-      for (const auto& id : ids) w.text(id);
-      return w.take();
-    };
-    if (answered.contains(request)) co_return reply(200, names(answered[request]));
-    const std::string type(*root["rig"].text()), zone(*root["yard"].text());
-    const bool spot = *root["loaners"].flag();
-    uint32_t& left = capacity[type + "/" + zone + "/" + (spot ? "spot" : "ordinary")];
-    const auto n = std::min<uint64_t>(left, *root["count"].count());
-    if (n == 0) {
-      ++refusals;
-      co_return reply(503, wire::write_error("no capacity"));
-    }
-    left -= static_cast<uint32_t>(n);
-    std::vector<std::string> ids;
-    for (uint64_t i = 0; i < n; ++i) {
-      char name[16];
-      std::snprintf(name, sizeof name, "vm-%06u", static_cast<unsigned>(next_++));
-      Machine m{name, type, zone, spot, loop_.now(), false, {}};
-      machines[m.id] = m;
-      ids.push_back(m.id);
-      if (on_rented) on_rented(m);
-    }
-    ++rentals;
-    answered[request] = ids;
-    if (lose_rental_replies) {
-      co_await loop_.sleep_until(call.deadline);
-      co_return Reply{};
-    }
-    co_return reply(200, names(ids));
+  const View root = doc->root();
+  const std::string request(*root["hire"].text());
+  const auto names = [&](const std::vector<std::string>& ids) {
+    Writer w;
+    w.map(1).key("hosts").list(ids.size());
+    for (const auto& id : ids) w.text(id);
+    return w.take();
+  };
+  if (answered.contains(request)) {
+    if (on_act) on_act({request, {}, false, sender_token});
+    return reply(200, names(answered[request]));
   }
-  if (call.target == "/rentals/delete") {
-    const View hosts = root["hosts"];
-    for (size_t i = 0; i < hosts.size(); ++i) {
-      const std::string id(*hosts.at(i).text());
-      deletions.push_back(id);
-      const auto it = machines.find(id);
-      if (it == machines.end() || it->second.gone) continue;
-      it->second.gone = true;
-      it->second.gone_at = loop_.now();
-      ++capacity[it->second.type + "/" + it->second.zone + "/" +
-                 (it->second.spot ? "spot" : "ordinary")];
-      if (on_deleted) on_deleted(id);
-    }
-    co_return reply(200);
+  const std::string type(*root["rig"].text()), zone(*root["yard"].text());
+  const bool spot = *root["loaners"].flag();
+  uint32_t& left = capacity[type + "/" + zone + "/" + (spot ? "spot" : "ordinary")];
+  const auto n = std::min<uint64_t>(left, *root["count"].count());
+  if (n == 0) {
+    ++refusals;
+    return reply(503, wire::write_error("no capacity"));
   }
+  left -= static_cast<uint32_t>(n);
+  std::vector<std::string> ids;
+  for (uint64_t i = 0; i < n; ++i) {
+    char name[16];
+    std::snprintf(name, sizeof name, "vm-%06u", static_cast<unsigned>(next_++));
+    Machine m{name, type, zone, spot, loop_.now(), false, {}, machine_address};
+    machines[m.id] = m;
+    ids.push_back(m.id);
+    if (on_rented) on_rented(m);
+  }
+  ++rentals;
+  answered[request] = ids;
+  if (on_act) on_act({request, ids, true, sender_token});
+  return reply(200, names(ids));
+}
+
+Reply CloudService::remove(const Call& call, uint64_t sender_token) {
+  const auto doc = Document::parse(call.body);
+  const View root = doc->root();
+  const View hosts = root["hosts"];
+  for (size_t i = 0; i < hosts.size(); ++i) {
+    const std::string id(*hosts.at(i).text());
+    deletions.push_back(id);
+    const auto it = machines.find(id);
+    const bool changes = it != machines.end() && !it->second.gone;
+    if (on_act) on_act({"", {id}, changes, sender_token});
+    if (!changes) continue;
+    it->second.gone = true;
+    it->second.gone_at = loop_.now();
+    ++capacity[it->second.type + "/" + it->second.zone + "/" +
+               (it->second.spot ? "spot" : "ordinary")];
+    if (on_deleted) on_deleted(id);
+  }
+  return reply(200);
+}
+
+Reply CloudService::list(const Call& call) {
   // The list as it was a while ago.
   const Instant as_of = loop_.now() - lag;
   ++lists;
@@ -82,12 +116,12 @@
   }
   w.map(2).key("hosts").list(shown.size());
   for (const auto* m : shown) {
-    w.map(7).key("id").text(m->id).key("address").text("10.1.0.1:9000").key("rig").text(m->type);
+    w.map(7).key("id").text(m->id).key("address").text(m->address).key("rig").text(m->type);
     w.key("yard").text(m->zone).key("loaners").flag(m->spot).key("standing").text("running");
     w.key("heldS").amount(to_seconds(as_of - m->since).count());
   }
   w.key("more").flag(more);
-  co_return within_limit(call, reply(200, w.take()));
+  return reply(200, w.take());
 }
 
 }  // namespace dunlinknot::test
--- /dev/null
+++ b/tests/duties_test.cpp
@@ -0,0 +1,224 @@
+// The parts of the duties on their own: leases, tokens, records, the intent log.
+#include "dunlinknot/duties/duties.hpp"
+
+#include <gtest/gtest.h>
+
+#include "support.hpp"
+
+namespace dunlinknot::test {
+namespace {
+
+using duties::Duty;
+using duties::Lease;
+using duties::LeaseState;
+using duties::RecordError;
+
+const Instant kStart{seconds(1000)};
+
+TEST(DutyLease, IsValidFromTheSendingOfItsLastProofWithDriftTakenOff) {
+  Lease lease(seconds(4));
+  EXPECT_EQ(lease.state(kStart), LeaseState::candidate);
+  lease.acquired({7, 11}, kStart);
+  EXPECT_EQ(lease.holding().token, 7u);
+  const Nanos validity = to_nanos(Seconds(4 / 1.001));
+  EXPECT_TRUE(lease.may_act(kStart + validity - Nanos(1)));
+  EXPECT_FALSE(lease.may_act(kStart + validity)) << "a clock 0.05% slow against one 0.05% fast";
+  EXPECT_EQ(lease.state(kStart + validity), LeaseState::doubtful);
+  lease.proved(kStart + seconds(3));
+  EXPECT_TRUE(lease.may_act(kStart + seconds(6)));
+  lease.proved(kStart + seconds(1));
+  EXPECT_TRUE(lease.may_act(kStart + seconds(6))) << "an older proof takes nothing away";
+}
+
+TEST(DutyLease, DistrustEndsWithAProofAndALossDoesNot) {
+  Lease lease(seconds(4));
+  lease.acquired({7, 11}, kStart);
+  lease.distrust();
+  EXPECT_EQ(lease.state(kStart), LeaseState::doubtful);
+  lease.proved(kStart);
+  EXPECT_EQ(lease.state(kStart), LeaseState::holding);
+  lease.lose();
+  lease.proved(kStart + seconds(1));
+  EXPECT_EQ(lease.state(kStart + seconds(1)), LeaseState::lost);
+  lease.stand_again();
+  EXPECT_EQ(lease.state(kStart + seconds(1)), LeaseState::candidate);
+}
+
+template <class Record>
+RecordError error_of(const duties::Read<Record>& read) {
+  return std::get<RecordError>(read);
+}
+
+TEST(DutyRecords, AreReadBackAndNeverGuessedAt) {
+  duties::RentIntent rent{"d-3-1", "box", "a", true, 50, "run-000001", 3};
+  const auto read_rent = [](std::string_view key, const std::string& bytes) {
+    const auto document = wire::Document::parse(bytes);
+    return duties::read_rent_intent(key, document->root());
+  };
+  const std::string key = duties::rent_key(rent.request);
+  const auto back = std::get<duties::RentIntent>(read_rent(key, duties::write_rent_intent(rent)));
+  EXPECT_EQ(back.type, "box");
+  EXPECT_EQ(back.count, 50u);
+  EXPECT_TRUE(back.spot);
+  EXPECT_EQ(back.token, 3u);
+  EXPECT_EQ(error_of(read_rent(duties::rent_key("d-3-2"), duties::write_rent_intent(rent))),
+            RecordError::damaged)
+      << "a record under a foreign key";
+  for (const uint32_t count : {0u, 51u}) {
+    rent.count = count;
+    EXPECT_EQ(error_of(read_rent(key, duties::write_rent_intent(rent))), RecordError::damaged);
+  }
+  wire::Writer newer;
+  newer.map(2).key("v").count(duties::kRecordVersion + 1).key("token").count(3);
+  EXPECT_EQ(error_of(read_rent(key, newer.take())), RecordError::newer);
+  wire::Writer empty;
+  empty.map(0);
+  EXPECT_EQ(error_of(read_rent(key, empty.take())), RecordError::damaged);
+}
+
+Site& with_duties(Site& site) {
+  site.op.duties = true;
+  for (size_t i = 0; i < site.nodes.size(); ++i) site.restart(i);
+  return site;
+}
+
+const duties::Duties& held(Site& site) {
+  return *site.daemon(*site.leader()).duties();
+}
+
+size_t count_keys(const Site& site, std::string_view prefix) {
+  size_t count = 0;
+  for (const auto& [key, entry] : site.state.data) count += key.starts_with(prefix) ? 1 : 0;
+  return count;
+}
+
+TEST(Duties, AreHeldByTheLeaderUnderATokenEach) {
+  Site site(3);
+  with_duties(site);
+  site.run_for(seconds(5));
+  ASSERT_TRUE(site.leader().has_value());
+  const auto& holder = held(site).holder;
+  for (const Duty duty : duties::kAllDuties) EXPECT_TRUE(holder.may_act(duty));
+  EXPECT_LT(holder.token(Duty::rent), holder.token(Duty::give_back));
+  EXPECT_LT(holder.token(Duty::give_back), holder.token(Duty::cleanup));
+  const uint64_t before = holder.token(Duty::cleanup);
+  site.restart(*site.leader());
+  site.run_for(seconds(8));
+  ASSERT_TRUE(site.leader().has_value());
+  EXPECT_GT(held(site).holder.token(Duty::rent), before) << "tokens only grow";
+}
+
+TEST(Duties, NothingIsStoredWhenTheyAreOff) {
+  Site site(1);
+  site.run_for(seconds(2));
+  site.submit(job("run-000001"));
+  site.run_for(seconds(40));
+  EXPECT_EQ(count_keys(site, "duty/") + count_keys(site, "intent/"), 0u);
+}
+
+TEST(Duties, IntentsStandBeforeTheActAndGoAfterIt) {
+  Site site(1);
+  with_duties(site);
+  site.cloud.lag = seconds(2);
+  bool rented_with_intent = false;
+  site.cloud.on_act = [&](const CloudService::Act& act) {
+    if (!act.request.empty() && act.changed) {
+      rented_with_intent = site.state.data.contains(duties::rent_key(act.request));
+    }
+  };
+  site.run_for(seconds(3));
+  site.submit(job("run-000001"));
+  site.run_for(seconds(2));
+  EXPECT_TRUE(rented_with_intent);
+  site.run_for(seconds(60));
+  EXPECT_EQ(site.standing("run-000001"), "done");
+  EXPECT_EQ(site.cloud.deletions.size(), 1u);
+  EXPECT_EQ(count_keys(site, "intent/"), 0u) << "all acts are settled";
+}
+
+TEST(Duties, AreDoubtfulAfterASuspensionAndTrustedAfterAProof) {
+  Site site(1);
+  with_duties(site);
+  site.run_for(seconds(5));
+  const auto& holder = held(site).holder;
+  ASSERT_TRUE(holder.may_act(Duty::rent));
+  site.clock.suspended += seconds(10);
+  EXPECT_FALSE(holder.may_act(Duty::rent)) << "the steady clock did not count the suspension";
+  EXPECT_EQ(holder.state(Duty::rent), LeaseState::doubtful);
+  site.run_for(seconds(3));
+  EXPECT_TRUE(held(site).holder.may_act(Duty::rent));
+}
+
+TEST(Duties, WallClockJumpsChangeNothing) {
+  Site site(1);
+  with_duties(site);
+  site.run_for(seconds(5));
+  const uint64_t token = held(site).holder.token(Duty::rent);
+  for (const auto jump : {Nanos(seconds(5)), Nanos(std::chrono::hours(3)),
+                          Nanos(std::chrono::hours(-6)), Nanos(seconds(-2))}) {
+    site.clock.wall_jump += jump;
+    EXPECT_TRUE(held(site).holder.may_act(Duty::rent));
+    site.run_for(seconds(5));
+    EXPECT_EQ(held(site).holder.token(Duty::rent), token);
+  }
+}
+
+TEST(Duties, ALeaseThatEndedUnderALeaderIsTakenAgainUnderANewToken) {
+  Site site(1);
+  with_duties(site);
+  site.run_for(seconds(5));
+  const uint64_t token = held(site).holder.token(Duty::rent);
+  site.state.erase(duties::duty_key(Duty::rent));
+  site.run_for(seconds(4));
+  EXPECT_GT(held(site).holder.token(Duty::rent), token);
+  EXPECT_TRUE(held(site).holder.may_act(Duty::rent));
+}
+
+TEST(Duties, ADamagedTokenCounterHaltsThemAndIsNotOverwritten) {
+  Site site(1);
+  wire::Writer damaged;
+  damaged.text("?");
+  const std::string bytes = damaged.take();
+  site.state.put(std::string(duties::kTokenKey), bytes);
+  with_duties(site);
+  const CloudService::Machine m{"vm-100001",      "box", "a", false,
+                                site.clock.now(), false, {},  "10.1.0.1:9000"};
+  site.cloud.machines[m.id] = m;
+  site.add_worker(m);
+  site.run_for(seconds(5));
+  site.submit(job("run-000001"));
+  site.run_for(seconds(30));
+  EXPECT_EQ(site.state.data.at(std::string(duties::kTokenKey)).value, bytes);
+  EXPECT_EQ(count_keys(site, "duty/"), 1u) << "no duty was taken";
+  EXPECT_EQ(site.cloud.rentals + site.cloud.deletions.size(), 0u);
+  EXPECT_EQ(site.standing("run-000001"), "done") << "what needs no duty goes on";
+}
+
+TEST(Duties, AnUnreadableIntentHaltsItsMachineOnly) {
+  Site site(1);
+  site.cloud.lag = Nanos(0);
+  for (const char* id : {"vm-100001", "vm-100002"}) {
+    const CloudService::Machine m{id, "box",          "a", false, site.clock.now(), false,
+                                  {}, "10.1.0.1:9000"};
+    site.cloud.machines[m.id] = m;
+    site.add_worker(m);
+  }
+  wire::Writer newer;
+  newer.map(2).key("v").count(duties::kRecordVersion + 1).key("token").count(1);
+  const std::string bytes = newer.take();
+  const std::string key = duties::return_key("vm-100001");
+  site.state.put(key, bytes);
+  with_duties(site);
+  site.run_for(seconds(5));
+  site.submit(job("run-000001", 4));
+  site.run_for(seconds(60));
+  EXPECT_EQ(site.standing("run-000001"), "done");
+  EXPECT_TRUE(site.workers.at("vm-100001")->started.empty());
+  EXPECT_FALSE(site.workers.at("vm-100002")->started.empty());
+  EXPECT_FALSE(site.cloud.machines.at("vm-100001").gone);
+  EXPECT_TRUE(site.cloud.machines.at("vm-100002").gone) << "it was idle in the end";
+  EXPECT_EQ(site.state.data.at(key).value, bytes);
+}
+
+}  // namespace
+}  // namespace dunlinknot::test
--- /dev/null
+++ b/tests/duty_handover_test.cpp
@@ -0,0 +1,321 @@
+// Handovers of the duties amid acts: holders that stand still, end, are cut off or refused, and
+// messages that come late, alone and several at once. The history is checked over the whole run.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "duty_history.hpp"
+
+namespace dunlinknot::test {
+namespace {
+
+constexpr size_t kControllers = 3;
+
+bool is_deletion(const http::Call& call) {
+  return call.target == "/rentals/delete";
+}
+bool is_rental(const http::Call& call) {
+  return call.target == "/rentals" && call.method == "POST";
+}
+
+struct Fixture {
+  explicit Fixture(bool duties = true) {
+    site.op.duties = duties;
+    site.op.idle_return = Seconds(3);
+    site.cloud.lag = seconds(6);
+    for (size_t i = 0; i < kControllers; ++i) site.restart(i);
+    site.run_for(seconds(5));
+  }
+  // Pauses the controller that is about to send the first such call; returns which one it was.
+  Site::Node* pause_at(bool (*which)(const http::Call&)) {
+    Site::Node* stopped = nullptr;
+    site.on_send = [&, which](Site::Node& node, const http::Call& call) {
+      if (stopped || !which(call)) return;
+      node.paused = true;
+      stopped = &node;
+    };
+    for (int i = 0; i < 3000 && !stopped; ++i) site.run_for(Millis(10));
+    site.on_send = nullptr;
+    return stopped;
+  }
+  void expect_clean() {
+    for (const auto& violation : history.violations()) ADD_FAILURE() << violation;
+    expect_rules(site);
+  }
+
+  Site site{kControllers};
+  DutyHistory history{site};
+};
+
+size_t index_of(const Site& site, const Site::Node* node) {
+  for (size_t i = 0; i < site.nodes.size(); ++i) {
+    if (site.nodes[i].get() == node) return i;
+  }
+  return site.nodes.size();
+}
+
+// The holder decided to return an idle machine, looked at its lease, and stands still before the
+// deletion is sent. Work comes for which the machine would do. Then the holder goes on.
+void pause_amid_a_return(Fixture& f) {
+  f.site.submit(job("run-000001"), 0);
+  Site::Node* stopped = f.pause_at(is_deletion);
+  ASSERT_NE(stopped, nullptr);
+  const size_t other = (index_of(f.site, stopped) + 1) % kControllers;
+  for (auto& [id, worker] : f.site.workers) {
+    worker->run_time = [](const TaskRef&) { return seconds(30); };
+  }
+  f.site.submit(job("run-000002"), other);
+  f.site.run_for(seconds(25));
+  stopped->paused = false;
+  f.site.run_for(seconds(90));
+  EXPECT_EQ(f.site.standing("run-000002", other), "done");
+}
+
+TEST(DutyHandover, AHolderPausedBeforeItSendsADeletionHarmsNobody) {
+  Fixture f;
+  pause_amid_a_return(f);
+  f.expect_clean();
+  EXPECT_GE(f.history.counts().fenced_without_effect, 1u) << "it was sent, and changed nothing";
+}
+
+// The same without the intents: the checks have to find what they are for.
+TEST(DutyHandover, TheChecksFindWhatHappensWithoutIntents) {
+  Fixture f(false);
+  pause_amid_a_return(f);
+  EXPECT_FALSE(f.history.violations().empty());
+}
+
+TEST(DutyHandover, AHolderPausedBeforeItSendsARentalRentsNothingTwice) {
+  Fixture f;
+  f.site.cloud.capacity["box/a/ordinary"] = 5;
+  f.site.submit(job("run-000001"), 0);
+  Site::Node* stopped = f.pause_at(is_rental);
+  ASSERT_NE(stopped, nullptr);
+  f.site.run_for(seconds(20));
+  EXPECT_EQ(f.site.cloud.machines.size(), 1u);
+  stopped->paused = false;
+  f.site.run_for(seconds(90));
+  EXPECT_EQ(f.site.cloud.machines.size(), 1u) << "the successor went on under the same name";
+  EXPECT_EQ(f.history.machines_held(), 0u);
+  f.expect_clean();
+}
+
+TEST(DutyHandover, ARentalThatIsExecutedMinutesLaterIsTheSameRental) {
+  Fixture f;
+  f.site.cloud.capacity["box/a/ordinary"] = 5;
+  f.site.cloud.late_by = seconds(120);
+  bool first = true;
+  f.site.cloud.fate = [&](const http::Call& call) {
+    return is_rental(call) && std::exchange(first, false) ? Fate::apply_late : Fate::normal;
+  };
+  f.site.submit(job("run-000001"), 0);
+  f.site.run_for(seconds(2));
+  ASSERT_FALSE(first);
+  f.site.restart(*f.site.leader());
+  f.site.run_for(seconds(200));
+  EXPECT_EQ(f.site.cloud.machines.size(), 1u);
+  EXPECT_EQ(f.history.machines_held(), 0u);
+  f.expect_clean();
+}
+
+// The cloud has none of a kind when the successor asks, and the former holder's request is carried
+// out long after: its name is still open, and no other was used meanwhile.
+TEST(DutyHandover, ANameWithACopyUnderWayStaysOpenWhileTheCloudHasNone) {
+  Fixture f;
+  auto& capacity = f.site.cloud.capacity["box/a/ordinary"];
+  capacity = 0;
+  f.site.cloud.late_by = seconds(60);
+  bool first = true;
+  f.site.cloud.fate = [&](const http::Call& call) {
+    return is_rental(call) && std::exchange(first, false) ? Fate::apply_late : Fate::normal;
+  };
+  JobSpec spec = job("run-000001");
+  spec.types = {"box"};
+  spec.zone = "a";
+  f.site.submit(spec, 0);
+  f.site.run_for(seconds(2));
+  f.site.restart(*f.site.leader());
+  f.site.run_for(seconds(30));
+  EXPECT_EQ(f.site.cloud.machines.size(), 0u);
+  capacity = 1;
+  f.site.run_for(seconds(120));
+  EXPECT_EQ(f.site.cloud.machines.size(), 1u);
+  EXPECT_EQ(f.site.standing("run-000001", 0), "done");
+  EXPECT_EQ(f.history.machines_held(), 0u);
+  f.expect_clean();
+}
+
+enum class Trouble {
+  crash,            // back within a fraction of a second or some seconds
+  crash_all,        // all controllers end amid their acts
+  pause,            // the leader stands still, up to well over its lease
+  refused_alone,    // the state service refuses the leader, and serves the others
+  cut_from_state,   // the leader loses the state service
+  cut_from_cloud,   // the leader loses the cloud, not the state service
+  late_acts,        // rentals and deletions are executed late
+  lost_answers,     // they are executed, and their answers are lost
+  late_writes,      // transactions are applied late
+  crash_successor,  // the leader ends, and the next one during its take-over
+  cloud_trouble,    // the cloud answers nobody
+};
+constexpr int kTroubles = 11;
+
+// Draws jobs and troubles over a while, lets all troubles end, and expects a clean history.
+class Drawn {
+ public:
+  Drawn(uint64_t seed, std::vector<Trouble> kinds) : random_(seed), kinds_(std::move(kinds)) {
+    f_.site.cloud.capacity["box/a/ordinary"] = 4;
+    f_.site.cloud.capacity["crate/a/ordinary"] = 2;
+    f_.site.cloud.late_by = seconds(15);
+    f_.site.state.late_by = seconds(4);
+    f_.site.on_worker = [this](Worker& worker) {
+      worker.run_time = [this](const TaskRef& task) { return seconds(2 + (task.index + 3) % 5); };
+    };
+  }
+
+  void run() {
+    constexpr int kSeconds = 100;
+    for (int second = 0; second < kSeconds; ++second) {
+      end_troubles();
+      if (draw(4) == 0) submit_next();
+      if (draw(5) == 0) begin(kinds_[draw(kinds_.size())]);
+      f_.site.run_for(seconds(1));
+    }
+    while (!ends_.empty()) {
+      end_troubles();
+      f_.site.run_for(seconds(1));
+    }
+    f_.site.cloud.fate = nullptr;
+    f_.site.state.fate = nullptr;
+    f_.site.run_for(seconds(240));
+    expect_all_settled();
+  }
+
+ private:
+  struct End {
+    Instant at;
+    std::function<void()> what;
+  };
+  size_t draw(size_t below) { return random_() % below; }
+
+  void submit_next() {
+    const JobSpec spec = job("run-" + std::to_string(100'000 + accepted_.size()),
+                             static_cast<uint32_t>(1 + draw(8)));
+    for (size_t i = 0; i < kControllers; ++i) {
+      if (f_.site.nodes[i]->dead || f_.site.nodes[i]->paused) continue;
+      const http::Response response = f_.site.submit(spec, i);
+      if (response.status != 200 && response.status != 201) continue;
+      accepted_.push_back(spec.id);
+      return;
+    }
+  }
+
+  void for_a_while(size_t most, std::function<void()> end) {
+    ends_.push_back({f_.site.clock.now() + seconds(1 + draw(most)), std::move(end)});
+  }
+  void end_troubles() {
+    std::vector<End> due;
+    std::erase_if(ends_, [&](End& end) {
+      if (end.at > f_.site.clock.now()) return false;
+      due.push_back(std::move(end));
+      return true;
+    });
+    for (End& end : due) end.what();
+  }
+  void crash(size_t node) {
+    if (f_.site.nodes[node]->dead) return;
+    f_.site.nodes[node]->paused = false;
+    f_.site.crash(node);
+    const Nanos away = draw(2) == 0 ? Nanos(Millis(200)) : Nanos(seconds(1 + draw(6)));
+    ends_.push_back({f_.site.clock.now() + away, [this, node] { f_.site.restart(node); }});
+  }
+  // The node may have been replaced by a new process meanwhile: its troubles ended with it.
+  void set_for_a_while(bool Site::Node::*flag, size_t node, size_t most) {
+    Site::Node* process = f_.site.nodes[node].get();
+    process->*flag = true;
+    for_a_while(most, [process, flag] { process->*flag = false; });
+  }
+  void some_calls(Fate fate) {
+    f_.site.cloud.fate = [this, fate](const http::Call& call) {
+      const bool act = is_rental(call) || is_deletion(call);
+      return act && draw(3) == 0 ? fate : Fate::normal;
+    };
+    for_a_while(15, [this] { f_.site.cloud.fate = nullptr; });
+  }
+
+  void begin(Trouble trouble) {
+    const size_t leader = f_.site.leader().value_or(draw(kControllers));
+    switch (trouble) {
+      case Trouble::crash:
+        return crash(leader);
+      case Trouble::crash_all:
+        for (size_t i = 0; i < kControllers; ++i) crash(i);
+        return;
+      case Trouble::pause:
+        return set_for_a_while(&Site::Node::paused, leader, 12);
+      case Trouble::refused_alone:
+        return set_for_a_while(&Site::Node::refused_by_state, leader, 10);
+      case Trouble::cut_from_state:
+        return set_for_a_while(&Site::Node::cut_from_state, leader, 10);
+      case Trouble::cut_from_cloud:
+        return set_for_a_while(&Site::Node::cut_from_cloud, leader, 10);
+      case Trouble::late_acts:
+        return some_calls(Fate::apply_late);
+      case Trouble::lost_answers:
+        return some_calls(Fate::lose_reply);
+      case Trouble::late_writes:
+        f_.site.state.fate = [this](const http::Call& call) {
+          return call.target == "/multi" && draw(8) == 0 ? Fate::apply_late : Fate::normal;
+        };
+        return for_a_while(10, [this] { f_.site.state.fate = nullptr; });
+      case Trouble::crash_successor:
+        crash(leader);
+        for (int i = 0; i < 1000 && !f_.site.leader(); ++i) f_.site.run_for(Millis(10));
+        if (f_.site.leader()) crash(*f_.site.leader());
+        return;
+      case Trouble::cloud_trouble:
+        f_.site.cloud.trouble = true;
+        return for_a_while(8, [this] { f_.site.cloud.trouble = false; });
+    }
+  }
+
+  void expect_all_settled() {
+    for (const auto& violation : f_.history.violations()) ADD_FAILURE() << violation;
+    EXPECT_EQ(f_.site.ran_twice, 0u);
+    for (const auto& broken : f_.site.rules.broken()) ADD_FAILURE() << broken;
+    for (const std::string& id : accepted_) EXPECT_EQ(f_.site.standing(id, 0), "done") << id;
+    EXPECT_EQ(f_.history.machines_held(), 0u) << "paid for and forgotten";
+    for (const auto& [key, entry] : f_.site.state.data) {
+      EXPECT_FALSE(key.starts_with(duties::return_key(""))) << key << " is still open";
+    }
+    EXPECT_GT(f_.history.counts().changed, 0u);
+  }
+
+  Fixture f_;
+  std::mt19937_64 random_;
+  std::vector<Trouble> kinds_;
+  std::vector<std::string> accepted_;
+  std::vector<End> ends_;
+};
+
+class DutyTroubles : public testing::TestWithParam<int> {};
+
+TEST_P(DutyTroubles, AloneLeaveACleanHistory) {
+  for (uint64_t seed = 1; seed <= 2; ++seed) {
+    SCOPED_TRACE(testing::Message() << "seed " << seed);
+    Drawn(seed, {static_cast<Trouble>(GetParam())}).run();
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Kinds, DutyTroubles, testing::Range(0, kTroubles));
+
+class DutyMeetings : public testing::TestWithParam<int> {};
+
+TEST_P(DutyMeetings, OfSeveralTroublesLeaveACleanHistory) {
+  std::vector<Trouble> all;
+  for (int i = 0; i < kTroubles; ++i) all.push_back(static_cast<Trouble>(i));
+  Drawn(static_cast<uint64_t>(100 + GetParam()), all).run();
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, DutyMeetings, testing::Range(0, 36));
+
+}  // namespace
+}  // namespace dunlinknot::test
--- /dev/null
+++ b/tests/duty_history.cpp
@@ -0,0 +1,105 @@
+#include "duty_history.hpp"
+
+#include <algorithm>
+
+namespace dunlinknot::test {
+
+using duties::Duty;
+
+DutyHistory::DutyHistory(Site& site) : site_(site) {
+  site.cloud.on_act = [this](const CloudService::Act& act) { take_act(act); };
+  site.state.on_removed = [this](const std::string& key) { take_removed_key(key); };
+}
+
+uint64_t DutyHistory::present_token(Duty duty) const {
+  const auto entry = site_.state.data.find(duties::duty_key(duty));
+  if (entry == site_.state.data.end()) return 0;
+  const auto document = wire::Document::parse(entry->second.value);
+  const auto read = duties::read_holder(document->root());
+  const auto* record = std::get_if<duties::HolderRecord>(&read);
+  return record ? record->token : 0;
+}
+
+bool DutyHistory::machine_lives(std::string_view machine) const {
+  const auto found = site_.cloud.machines.find(std::string(machine));
+  return found != site_.cloud.machines.end() && !found->second.gone;
+}
+
+size_t DutyHistory::machines_held() const {
+  return static_cast<size_t>(std::count_if(site_.cloud.machines.begin(), site_.cloud.machines.end(),
+                                           [](const auto& entry) { return !entry.second.gone; }));
+}
+
+void DutyHistory::take_act(const CloudService::Act& act) {
+  const bool rental = !act.request.empty();
+  const std::string key =
+      rental ? duties::rent_key(act.request) : duties::return_key(act.machines.front());
+  const bool open = site_.state.data.contains(key);
+  const bool fenced = act.sender_token != present_token(rental ? Duty::rent : Duty::give_back);
+  ++counts_.acts;
+  if (act.changed) {
+    ++counts_.changed;
+    if (!open) violations_.push_back("an act that is not decided: " + key);
+    if (open && fenced) ++counts_.fenced_repeats;
+    if (rental) check_rental(act.request);
+    if (!rental) check_return(act.machines.front());
+  } else if (fenced) {
+    ++counts_.fenced_without_effect;
+  }
+}
+
+// While one rental of a kind of machine is decided and unanswered, another of that kind would be
+// for the same need.
+void DutyHistory::check_rental(const std::string& request) {
+  std::optional<duties::RentIntent> own;
+  std::vector<duties::RentIntent> others;
+  for (const auto& [key, entry] : site_.state.data) {
+    const auto document = wire::Document::parse(entry.value);
+    const auto read = duties::read_rent_intent(key, document->root());
+    const auto* intent = std::get_if<duties::RentIntent>(&read);
+    if (!intent) continue;
+    if (intent->request == request) {
+      own = *intent;
+    } else if (!site_.cloud.answered.contains(intent->request)) {
+      others.push_back(*intent);
+    }
+  }
+  if (!own) return;
+  for (const duties::RentIntent& other : others) {
+    if (other.type == own->type && other.zone == own->zone && other.spot == own->spot) {
+      violations_.push_back("rented twice for one need: " + request + " and " + other.request);
+    }
+  }
+}
+
+// Whoever leads must not count on a machine that goes: no task may be started there between the
+// decision and the deletion, and none that can be reached may be killed by it.
+void DutyHistory::check_return(const std::string& machine) {
+  const auto worker = site_.workers.find(machine);
+  if (worker == site_.workers.end()) return;
+  const Worker& w = *worker->second;
+  if (!w.on || w.cut || w.hung || w.mute || w.drop_responses || w.notice) return;
+  for (const auto& [key, task] : w.tasks) {
+    if (task.state == TaskState::exited) continue;
+    violations_.push_back("machine " + machine + " was returned with " + key.first.text());
+  }
+}
+
+void DutyHistory::take_removed_key(const std::string& key) {
+  if (key.starts_with(wire::kFinalPrefix)) {
+    violations_.push_back("a final answer was removed: " + key);
+  }
+  if (const auto machine = duties::return_name(key); !machine.empty() && machine_lives(machine)) {
+    violations_.push_back("an intent was removed before its machine was gone: " + key);
+  }
+  if (const auto machine = wire::after_prefix(key, wire::kHostPrefix); machine_lives(machine)) {
+    const auto worker = site_.workers.find(std::string(machine));
+    if (worker == site_.workers.end() || !worker->second->on) return;
+    for (const auto& [task, running] : worker->second->tasks) {
+      if (running.state == TaskState::exited) continue;
+      violations_.push_back("a record was removed whose task runs: " + key);
+    }
+  }
+}
+
+}  // namespace dunlinknot::test
--- /dev/null
+++ b/tests/duty_history.hpp
@@ -0,0 +1,43 @@
+// The history of what controllers did under their duties, as the scripted cloud and state service
+// saw it, and the checks over it.
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "support.hpp"
+
+namespace dunlinknot::test {
+
+class DutyHistory {
+ public:
+  // Watches the site from now on.
+  explicit DutyHistory(Site& site);
+
+  // What was wrong, in words.
+  const std::vector<std::string>& violations() const { return violations_; }
+  struct Counts {
+    uint64_t acts = 0;
+    uint64_t changed = 0;
+    uint64_t fenced_repeats = 0;  // by a replaced holder, of what the present one has open as well
+    uint64_t fenced_without_effect = 0;
+  };
+  const Counts& counts() const { return counts_; }
+  // Machines that are paid for.
+  size_t machines_held() const;
+
+ private:
+  void take_act(const CloudService::Act& act);
+  void take_removed_key(const std::string& key);
+  void check_rental(const std::string& request);
+  void check_return(const std::string& machine);
+  // The token under which the duty is held at this moment; 0 when nobody holds it.
+  uint64_t present_token(duties::Duty duty) const;
+  bool machine_lives(std::string_view machine) const;
+
+  Site& site_;
+  std::vector<std::string> violations_;
+  Counts counts_;
+};
+
+}  // namespace dunlinknot::test
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -91,7 +91,8 @@
   Site site;
   constexpr size_t kListed = 6000;
   for (size_t i = 1; i <= kListed; ++i) {
-    CloudService::Machine m{"aa-" + machine_name(i), "box", "b", true, site.clock.now(), false, {}};
+    CloudService::Machine m{"aa-" + machine_name(i), "box", "b", true,
+                            site.clock.now(),        false, {},  "10.1.0.1:9000"};
     site.cloud.machines[m.id] = m;
   }
   site.cloud.lag = Nanos(0);
@@ -137,7 +138,7 @@
  private:
   void add_machine(size_t number) {
     const CloudService::Machine m{machine_name(number + 1), "box", "a", false,
-                                  site.clock.now(),         false, {}};
+                                  site.clock.now(),         false, {},  "10.1.0.1:9000"};
     site.cloud.machines[m.id] = m;
     site.add_worker(m);
     Worker& worker = *site.workers.at(m.id);
--- a/tests/state_service.cpp
+++ b/tests/state_service.cpp
@@ -96,7 +96,12 @@
 }
 
 void StateService::note(std::string key, bool deleted, std::string value) {
+  constexpr size_t kKept = 10'000;
+  if (on_change) on_change(key);
   events_.push_back({revision_, std::move(key), deleted, std::move(value)});
+  if (events_.size() <= kKept) return;
+  forgotten_ = events_.front().revision;
+  events_.pop_front();
 }
 
 void StateService::put(const std::string& key, std::string value) {
@@ -175,6 +180,7 @@
       note(std::string(*key), false, std::move(value));
     } else {
       const std::string gone(*op["delete"].text());
+      if (data.contains(gone) && on_removed) on_removed(gone);
       if (data.erase(gone)) note(gone, true, "");
     }
   }
@@ -194,13 +200,15 @@
   const uint64_t since = number(query_value(target, "since"));
   const Instant end = loop_.now() + Millis(number(query_value(target, "blockMs")));
   for (;;) {
-    if (too_old) co_return reply(410);
+    if (too_old || since < forgotten_) co_return reply(410);
     if (loop_.now() >= deadline) co_return Reply{};  // the client gave up
     expire();
     std::vector<const Event*> news;
     if (!outage) {
-      for (const auto& e : events_) {
-        if (e.revision > since && e.key.starts_with(prefix)) news.push_back(&e);
+      const auto later = [](uint64_t revision, const Event& e) { return revision < e.revision; };
+      auto e = std::upper_bound(events_.begin(), events_.end(), since, later);
+      for (; e != events_.end(); ++e) {
+        if (e->key.starts_with(prefix)) news.push_back(&*e);
       }
     }
     if (!news.empty() || (loop_.now() >= end && !outage)) {
--- a/tests/support.cpp
+++ b/tests/support.cpp
@@ -43,6 +43,14 @@
 
 Task<Reply> Site::Node::exchange(Call call) {
   if (dead) co_await site.loop.sleep(std::chrono::hours(1000));
+  if (site.on_send) site.on_send(*this, call);
+  while (paused) co_await site.loop.sleep(Millis(10));
+  Reply out = co_await deliver(std::move(call));
+  while (paused) co_await site.loop.sleep(Millis(10));
+  co_return out;
+}
+
+Task<Reply> Site::Node::deliver(Call call) {
   if (call.to == platform.state) {
     if (cut_from_state) {
       co_await site.loop.sleep_until(call.deadline);
@@ -57,7 +65,16 @@
     if (refused_by_state) co_return Reply{};
     co_return r;
   }
-  if (call.to == platform.cloud) co_return co_await site.cloud.serve(std::move(call));
+  if (call.to == platform.cloud) {
+    if (cut_from_cloud) {
+      co_await site.loop.sleep_until(call.deadline);
+      co_return Reply{};
+    }
+    const bool rental = call.target == "/rentals" && call.method == "POST";
+    const auto duty = rental ? duties::Duty::rent : duties::Duty::give_back;
+    const uint64_t token = daemon->duties() ? daemon->duties()->holder.token(duty) : 0;
+    co_return co_await site.cloud.serve(std::move(call), token);
+  }
   for (auto& [id, w] : site.workers) {
     if (w->address == call.to.text()) co_return co_await w->direct(std::move(call));
   }
@@ -76,10 +93,10 @@
   Node& n = *nodes[i];
   http::Response none;
   none.status = 0;
-  if (n.dead) co_return none;
+  if (n.dead || n.paused) co_return none;
   if (on_request) request = on_request(std::move(request));
   http::Response r = co_await n.daemon->handle(std::move(request));
-  if (n.dead) co_return none;
+  if (n.dead || n.paused) co_return none;
   if (on_response) on_response(r);
   co_return r;
 }
@@ -154,7 +171,7 @@
     co_await loop.sleep(Millis(500));
     for (auto& to : nodes) {
       for (auto& from : nodes) {
-        if (to == from || to->dead || from->dead) continue;
+        if (to == from || to->dead || from->dead || to->paused || from->paused) continue;
         if (to->cut_from_peers || from->cut_from_peers) continue;
         to->daemon->peers().take_status(from->daemon->status(), loop.now());
       }
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -23,10 +23,14 @@
   Instant now() const override { return now_; }
   WallTime wall() const override {
     return WallTime(Millis(1'700'000'000'000)) +
-           std::chrono::duration_cast<Millis>(now_ - Instant(seconds(1000)));
+           std::chrono::duration_cast<Millis>(now_ + wall_jump - Instant(seconds(1000)));
   }
+  Instant boot() const override { return now_ + suspended; }
   void set(Instant t) { now_ = t; }
 
+  Nanos suspended{0};  // for which the steady clock stood still
+  Nanos wall_jump{0};
+
  private:
   Instant now_{seconds(1000)};
 };
@@ -84,9 +88,11 @@
   Task<http::Reply> serve(http::Call call);
 
   bool outage = false;
-  bool too_old = false;                         // watches are answered 410
-  void end_outage();                            // every lease has its full time again
-  std::function<Fate(const http::Call&)> fate;  // asked for each call
+  bool too_old = false;                                // watches are answered 410
+  void end_outage();                                   // every lease has its full time again
+  std::function<Fate(const http::Call&)> fate;         // asked for each call
+  std::function<void(const std::string&)> on_removed;  // a key that a transaction deletes
+  std::function<void(const std::string&)> on_change;   // a key that was put or deleted
   Nanos late_by = seconds(10);
   uint64_t requests = 0;
   size_t max_value = 0, max_writes = 0;  // the largest seen
@@ -130,7 +136,8 @@
   uint64_t revision_ = 1;
   uint64_t next_lease_ = 1;
   std::map<uint64_t, Lease> leases_;
-  std::vector<Event> events_;
+  std::deque<Event> events_;
+  uint64_t forgotten_ = 0;  // changes up to this revision are no longer kept
   double write_level_ = 0;
   Instant write_level_at_{};
 };
@@ -141,7 +148,19 @@
 class CloudService {
  public:
   explicit CloudService(Loop& loop) : loop_(loop) {}
-  Task<http::Reply> serve(http::Call call);
+  // `sender_token`: of the duty under which the sender acts, for the history.
+  Task<http::Reply> serve(http::Call call, uint64_t sender_token = 0);
+
+  // A request that was carried out, whether or not it changed anything.
+  struct Act {
+    std::string request;  // of a rental; empty: a deletion
+    std::vector<std::string> machines;
+    bool changed = false;
+    uint64_t sender_token = 0;
+  };
+  std::function<void(const Act&)> on_act;
+  std::function<Fate(const http::Call&)> fate;  // asked for each call
+  Nanos late_by = seconds(10);
 
   struct Machine {
     std::string id, type, zone;
@@ -149,9 +168,11 @@
     Instant since{};
     bool gone = false;
     Instant gone_at{};
+    std::string address;
   };
   std::vector<MachineType> types;
-  std::map<std::string, uint32_t> capacity;  // "type/zone/spot|ordinary"; absent: 0
+  std::string machine_address = "10.1.0.1:9000";  // of each machine that is rented
+  std::map<std::string, uint32_t> capacity;       // "type/zone/spot|ordinary"; absent: 0
   bool trouble = false;
   bool lose_rental_replies = false;
   Nanos lag = seconds(8);
@@ -163,6 +184,12 @@
   std::vector<std::string> deletions;
 
  private:
+  Task<void> execute_later(http::Call call, uint64_t sender_token);
+  http::Reply execute(const http::Call& call, uint64_t sender_token);
+  http::Reply rent(const http::Call& call, uint64_t sender_token);
+  http::Reply remove(const http::Call& call, uint64_t sender_token);
+  http::Reply list(const http::Call& call);
+
   Loop& loop_;
   uint64_t next_ = 1;
 };
@@ -234,6 +261,7 @@
   struct Node : http::Transport {
     Node(Site& site, size_t index);
     Task<http::Reply> exchange(http::Call call) override;
+    Task<http::Reply> deliver(http::Call call);
     Site& site;
     settings::Platform platform;
     std::unique_ptr<node::Daemon> daemon;
@@ -241,6 +269,9 @@
     bool cut_from_state = false;
     bool refused_by_state = false;  // 503, while others may be served
     bool cut_from_peers = false;
+    bool cut_from_cloud = false;
+    // Stands still: what it is about to send goes out when it goes on, without another look.
+    bool paused = false;
   };
   void crash(size_t i) { nodes[i]->dead = true; }
   void restart(size_t i);
@@ -277,6 +308,8 @@
   size_t ran_twice = 0;
   size_t starts = 0;
   std::function<void(Worker&)> on_worker;  // each new one
+  // Each call of a controller, as it is about to be sent.
+  std::function<void(Node&, const http::Call&)> on_send;
   // What passes between the peers and a controller; for measuring what its encoding costs.
   std::function<http::Request(http::Request)> on_request;
   std::function<void(const http::Response&)> on_response;
