A socket may outlive the loop's coroutines

Cause: Loop::abandon() ends all coroutines but a socket that closed afterwards still woke the one that had waited for it: a use after free in the teardown of the handover run (one of three runs of 100 handovers ended with a corrupted heap after its last handover, before it printed its counts; confirmed under the address sanitizer). Controllers never abandon their loop.

--- a/src/dunlinknot/runtime/loop.cpp
+++ b/src/dunlinknot/runtime/loop.cpp
@@ -109,6 +109,8 @@
 
 void Loop::forget_fd(int fd) {
   if (abandoned_) return;  // closing the socket takes it off epoll as well
+  // Found by the handover run under the address sanitizer: a socket that outlived abandon().
+  if (static_cast<size_t>(fd) >= fds_.size()) return;
   FdSlots& s = fds_[static_cast<size_t>(fd)];
   if (s.reader) wake(*s.reader, true);
   if (s.writer) wake(*s.writer, true);
--- a/tests/duty_handover_test.cpp
+++ b/tests/duty_handover_test.cpp
@@ -312,6 +312,7 @@
 
 TEST_P(DutyMeetings, OfSeveralTroublesLeaveACleanHistory) {
   std::vector<Trouble> all;
+  all.reserve(kTroubles);
   for (int i = 0; i < kTroubles; ++i) all.push_back(static_cast<Trouble>(i));
   Drawn(static_cast<uint64_t>(100 + GetParam()), all).run();
 }
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
+#include <netinet/in.h>
 
+#include "dunlinknot/http/socket.hpp"
 #include "dunlinknot/runtime/budget.hpp"
 
 namespace dunlinknot {
@@ -22,5 +24,23 @@
   }
 }
 
+Task<void> accept_one(http::Listener& listener) {
+  (void)co_await listener.accept();
+}
+
+// Found by the handover run under the address sanitizer: closing the socket woke a coroutine that
+// had ended with the loop.
+TEST(Loop, ASocketMayOutliveItsCoroutines) {
+  SystemClock clock;
+  Loop loop(clock);
+  auto listener = std::make_unique<http::Listener>(loop, http::Endpoint{htonl(INADDR_LOOPBACK), 0});
+  loop.spawn(accept_one(*listener));
+  loop.run_ready();
+  loop.abandon();
+  EXPECT_TRUE(loop.spawned().empty());
+  listener.reset();
+  loop.run_ready();
+}
+
 }  // namespace
 }  // namespace dunlinknot
--- a/tools/handover_run.cpp
+++ b/tools/handover_run.cpp
@@ -106,7 +106,7 @@
 
  private:
   // --- set-up
-  http::Endpoint serve(std::function<Task<http::Reply>(http::Call)> handler) {
+  http::Endpoint serve(const std::function<Task<http::Reply>(http::Call)>& handler) {
     http::ServerOptions server_options;
     server_options.max_connections = 1000;
     const auto handle = [handler, this](http::Request request) -> Task<http::Response> {
