--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -9,7 +9,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <filesystem>
+#include <random>
 #include <stdexcept>
 
 #include "dunlinknot/wire/records.hpp"
@@ -110,9 +110,20 @@
   return {htonl(INADDR_LOOPBACK), servers_.back()->port()};
 }
 
+// A free port for a controller, below the range from which the system chooses ports by itself, so
+// that no connection takes it before the controller listens.
 http::Endpoint Deployment::free_port() {
-  const http::Listener listener(loop_, {htonl(INADDR_LOOPBACK), 0});
-  return {htonl(INADDR_LOOPBACK), listener.port()};
+  static std::mt19937 random(std::random_device{}());
+  for (int tries = 0; tries < 100; ++tries) {
+    const http::Endpoint at{htonl(INADDR_LOOPBACK),
+                            std::uniform_int_distribution<uint16_t>(15'000, 30'000)(random)};
+    try {
+      const http::Listener listener(loop_, at);
+      return at;
+    } catch (const std::runtime_error&) {  // in use
+    }
+  }
+  throw std::runtime_error("no free port");
 }
 
 void Deployment::add_controller(uint32_t index) {
