--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -268,7 +268,9 @@
 }
 
 Task<void> Deployment::boot_worker(test::ScriptedCloud::Machine machine) {
-  co_await loop_.sleep(setup_.boot);
+  Nanos boot = setup_.boot;
+  if (boot_time) boot = boot_time(machine.id);
+  co_await loop_.sleep(boot);
   const auto type = std::find_if(setup_.types.begin(), setup_.types.end(),
                                  [&](const MachineType& t) { return t.name == machine.type; });
   const std::string id = machine.id;
@@ -289,6 +291,7 @@
                                                        to_nanos(Seconds(setup_.lease_s)));
   worker->specs = &specs_;
   worker->run_time = run_time;
+  worker->fetch_time = fetch_time;
   worker->on_start = [this, id](const TaskRef& task) {
     note("worker " + id + ": task " + task.text() + " starts");
     if (on_start) on_start(id, task);
@@ -304,9 +307,37 @@
   if (on_machine_up) on_machine_up(id);
   const auto node = std::make_shared<size_t>(0);
   loop_.spawn(pointer->watch_lease());
-  loop_.spawn(pointer->run(
-      [this, node](Request request) { return report(std::move(request), node); },
-      to_nanos(Seconds(setup_.report_s))));
+  if (setup_.report_changes) {
+    // The worker offers a report every 50 ms; only those that are due are sent.
+    loop_.spawn(pointer->run(
+        [this, id, node](Request request) { return report_if_due(id, std::move(request), node); },
+        Millis(50)));
+  } else {
+    loop_.spawn(pointer->run(
+        [this, node](Request request) { return report(std::move(request), node); },
+        to_nanos(Seconds(setup_.report_s))));
+  }
+}
+
+// A change is one of the tasks, of the spot notice or of the session.
+Task<Response> Deployment::report_if_due(std::string machine, Request request,
+                                         std::shared_ptr<size_t> node) {
+  const test::ScriptedWorker& worker = *workers_.at(machine);
+  std::string state = std::to_string(worker.incarnation) +
+                      (worker.interruption_notice ? " notice" : "");
+  for (const auto& [key, task] : worker.tasks)
+    state += " " + key.first.text() + "#" + std::to_string(key.second) + ":" +
+             std::to_string(static_cast<int>(task.state));
+  LastReport& last = last_reports_[machine];
+  const Nanos since = loop_.now() - last.sent;
+  const bool due = since >= to_nanos(Seconds(setup_.report_s));
+  const bool changed = state != last.state && since >= Millis(500);
+  Response nothing;
+  nothing.status = 503;
+  if (!due && !changed) co_return nothing;
+  last = {loop_.now(), std::move(state)};
+  Response response = co_await report(std::move(request), node);
+  co_return response;
 }
 
 // One report: at once to the node that a 421 names, otherwise to the next node 1 s later.
--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -40,6 +40,8 @@
   uint32_t max_connections = 1800;
   std::vector<MachineType> types;
   Nanos boot = seconds(2);  // from a rental to the first report
+  // Workers also report when something changes, at most every half second.
+  bool report_changes = false;
 };
 
 struct Controller {
@@ -97,6 +99,8 @@
   std::string describe(const JobSpec& spec);
 
   std::function<Nanos(const TaskRef&)> run_time;
+  std::function<Nanos(const TaskRef&)> fetch_time;
+  std::function<Nanos(const std::string& machine)> boot_time;  // instead of Setup::boot
   std::function<void(const std::string& machine, const TaskRef&)> on_start;
   std::function<void(const std::string& machine, const test::ScriptedWorker::Running&)> on_end;
   std::function<void(const std::string& machine)> on_machine_up;
@@ -110,6 +114,12 @@
   void write_settings(const Controller& controller);
   Task<void> boot_worker(test::ScriptedCloud::Machine machine);
   Task<http::Response> report(http::Request request, std::shared_ptr<size_t> node);
+  Task<http::Response> report_if_due(std::string machine, http::Request request,
+                                     std::shared_ptr<size_t> node);
+  struct LastReport {
+    Instant sent{};
+    std::string state;
+  };
   Task<void> finish(Task<int> drive);
 
   Setup setup_;
@@ -126,6 +136,7 @@
   std::vector<std::unique_ptr<Controller>> controllers_;
   std::map<std::string, std::unique_ptr<test::ScriptedWorker>> workers_;
   std::map<std::string, JobSpec> specs_;
+  std::map<std::string, LastReport> last_reports_;
   int result_ = kCouldNotRun;
 };
 
