Scripted store: enforce the limits of the settings in every test

The scripted key-value store took any number of compares, transactions of any size and any rate of requests unless a test set limits. Now it always has the limits of the settings: writes, four compares per write, 64 KiB in JSON per transaction, bytes per value (400), requests and writes per second with bursts of one second (429). It counts the watches that it answers 410. The handover run and the cost driver pass the limits that they write into the settings.

--- a/benchmarks/cost_driver.cpp
+++ b/benchmarks/cost_driver.cpp
@@ -58,6 +58,7 @@
       platform.store_limits.rps = 200;
       platform.store_limits.write_rps = 80;
       platform.store_limits.value_bytes = size_t{16} * 1024;
+      site_.store.limits = platform.store_limits;
       platform.max_connections = 1800;
     };
     site_.cloud.types = catalog();
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -102,7 +102,7 @@
 TEST_F(LowerLimits, GangCompletesWhenLimitsFallAtAnyStepOfItsAllocation) {
   for (const auto after :
        {Millis(0), Millis(20), Millis(60), Millis(200), Millis(1000), Millis(4000)}) {
-    site.store.limits.reset();
+    site.store.limits = site.rules_platform.store_limits;
     JobSpec gang = job(job_id(static_cast<size_t>(after.count())), 16);
     gang.gang = true;
     gang.need = {4, 0, 8};
--- a/tests/scripted_store.cpp
+++ b/tests/scripted_store.cpp
@@ -75,23 +75,26 @@
   return size;
 }
 
-bool ScriptedStore::within_size_limits(View compares, View writes) const {
-  if (!limits) return true;
-  if (writes.size() > limits->txn_ops || compares.size() > 4 * limits->txn_ops) return false;
+bool ScriptedStore::within_size_limits(View transaction) const {
+  constexpr size_t kMaxComparesPerWrite = 4;
+  constexpr size_t kMaxTransactionBytes = size_t{64} * 1024;
+  const View writes = transaction["writes"];
+  if (writes.size() > limits.txn_ops) return false;
+  if (transaction["guards"].size() > kMaxComparesPerWrite * limits.txn_ops) return false;
+  if (compact_json_size(transaction) > kMaxTransactionBytes) return false;
   for (size_t i = 0; i < writes.size(); ++i) {
-    if (compact_json_size(writes.at(i)["v"]) > limits->value_bytes) return false;
+    if (compact_json_size(writes.at(i)["v"]) > limits.value_bytes) return false;
   }
   return true;
 }
 
-// A token bucket that holds the writes of one second.
-bool ScriptedStore::within_rate(size_t writes) {
-  if (!limits) return true;
-  const double passed = to_seconds(loop_.now() - available_writes_at_).count();
-  available_writes_at_ = loop_.now();
-  available_writes_ = std::min(limits->write_rps, available_writes_ + passed * limits->write_rps);
-  if (available_writes_ < static_cast<double>(writes)) return false;
-  available_writes_ -= static_cast<double>(writes);
+bool ScriptedStore::Rate::take(Instant now, double per_second, double amount) {
+  const double passed = to_seconds(now - at).count();
+  at = now;
+  const double refilled = available ? *available + passed * per_second : per_second;
+  available = std::min(per_second, refilled);
+  if (*available < amount) return false;
+  *available -= amount;
   return true;
 }
 
@@ -141,11 +144,11 @@
 Reply ScriptedStore::execute_transaction(View root) {
   std::vector<std::string> failed;
   const View compares = root["guards"];
-  if (!within_size_limits(compares, root["writes"])) {
+  if (!within_size_limits(root)) {
     ++oversized;
     return reply(400, wire::write_error("too large"));
   }
-  if (!within_rate(root["writes"].size())) {
+  if (!writes_.take(loop_.now(), limits.write_rps, static_cast<double>(root["writes"].size()))) {
     ++throttled;
     return reply(429);
   }
@@ -200,7 +203,10 @@
   const uint64_t since = parse_count(query_value(target, "since"));
   const Instant end = loop_.now() + Millis(parse_count(query_value(target, "blockMs")));
   for (;;) {
-    if (watches_too_old || since < compacted_revision_) co_return reply(410);
+    if (watches_too_old || since < compacted_revision_) {
+      ++expired_watches;
+      co_return reply(410);
+    }
     if (loop_.now() >= deadline) co_return Reply{};  // the client has timed out
     expire_leases();
     std::vector<const Event*> changes;
@@ -326,6 +332,10 @@
     co_await loop_.sleep_until(call.deadline);
     co_return Reply{};
   }
+  if (!requests_.take(loop_.now(), limits.rps, 1)) {
+    ++throttled;
+    co_return reply(429);
+  }
   expire_leases();
   Reply out;
   if (call.target.starts_with("/changes")) {
--- a/tests/scripted_store.hpp
+++ b/tests/scripted_store.hpp
@@ -12,10 +12,12 @@
 
 namespace dunlinknot::test {
 
-// Implements the protocol of the key-value store on one event loop; a test chooses the faults.
+// Implements the protocol of the key-value store on one event loop, with its limits; a test chooses
+// the faults.
 class ScriptedStore {
  public:
-  explicit ScriptedStore(EventLoop& loop) : loop_(loop) {}
+  ScriptedStore(EventLoop& loop, const settings::StoreLimits& in_force)
+      : limits(in_force), loop_(loop) {}
   Task<http::Reply> serve(http::Call call);
 
   // While set, requests are answered 503, watches stay open without changes, and no lease expires.
@@ -28,9 +30,11 @@
   Nanos fault_delay = seconds(10);  // of CallFault::apply_late and CallFault::slow_reply
   uint64_t requests = 0;
   size_t max_value = 0, max_writes = 0;  // the largest value in bytes, the most writes of one call
-  // If set, a larger value or transaction gets 400, and writes beyond the rate get 429.
-  std::optional<settings::StoreLimits> limits;
-  size_t oversized = 0, throttled = 0;  // transactions rejected with 400 and with 429 for `limits`
+  // A larger value or transaction gets 400, and requests and writes beyond the rates get 429.
+  settings::StoreLimits limits;
+  size_t oversized = 0;        // transactions rejected with 400 for their size
+  size_t throttled = 0;        // requests rejected with 429
+  size_t expired_watches = 0;  // watches answered 410
 
   struct Entry {
     std::string value;  // in MessagePack
@@ -47,6 +51,12 @@
     Millis ttl;
     Instant ends;
   };
+  // Holds the requests or writes of one second, and starts full.
+  struct Rate {
+    bool take(Instant now, double per_second, double amount);
+    std::optional<double> available;
+    Instant at{};
+  };
   struct Event {
     uint64_t revision;
     std::string key;
@@ -61,8 +71,7 @@
   http::Reply read_key(const std::string& target) const;
   http::Reply list_keys(const std::string& target) const;
   http::Reply execute_transaction(wire::View root);
-  bool within_size_limits(wire::View compares, wire::View writes) const;
-  bool within_rate(size_t writes);
+  bool within_size_limits(wire::View transaction) const;
   Task<void> execute_transaction_late(std::string body);
   Task<http::Reply> watch(std::string target, Instant deadline);
   void record_event(std::string key, bool deleted, std::string value);
@@ -73,8 +82,20 @@
   std::map<uint64_t, Lease> leases_;
   std::deque<Event> events_;
   uint64_t compacted_revision_ = 0;  // events up to this revision have been discarded
-  double available_writes_ = 0;
-  Instant available_writes_at_{};
+  Rate requests_;
+  Rate writes_;
+};
+
+// Connects a client directly to the scripted store.
+class StoreTransport : public http::Transport {
+ public:
+  explicit StoreTransport(ScriptedStore& store) : store_(store) {}
+  Task<http::Reply> exchange(http::Call call) override {
+    co_return co_await store_.serve(std::move(call));
+  }
+
+ private:
+  ScriptedStore& store_;
 };
 
 // The size of a value in JSON without whitespace.
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -73,7 +73,7 @@
   std::function<void(settings::Platform&)> adjust_platform;
   const settings::Platform rules_platform = platform(0, 3);
   RuleChecker rules{clock, rules_platform};
-  ScriptedStore store{loop};
+  ScriptedStore store{loop, rules_platform.store_limits};
   ScriptedCloud cloud{loop};
   std::map<std::string, JobSpec> specs;  // of all submitted jobs
   std::vector<std::unique_ptr<Node>> nodes;
--- a/tools/handover_run.cpp
+++ b/tools/handover_run.cpp
@@ -47,6 +47,9 @@
 // Largest delay of a request that the cloud executes late.
 constexpr Millis kMaxRequestDelay{15'500};
 constexpr auto kSettleTimeout = seconds(90);
+constexpr double kBytesPerKb = 1024;
+constexpr settings::StoreLimits kStoreLimits{
+    .rps = 1000, .write_rps = 1000, .value_bytes = size_t{8} * 1024, .txn_ops = 16};
 
 // A controller process and the faults injected into it.
 struct Controller {
@@ -177,7 +180,10 @@
         << "gpus = 0.0\ngpus_max = 0.0\n"
         << "[params.workers]\nreport_s = 0.5\nlease_s = " << kWorkerLease.count()
         << ".0\ngang_wait_s = 40.0\ngang_peer_s = 6.0\ncancel_s = 39.0\n"
-        << "[params.state]\nrps = 1000.0\nwrite_rps = 1000.0\nvalue_kb = 8.0\ntxn_ops = 16\n"
+        << "[params.state]\nrps = " << kStoreLimits.rps
+        << "\nwrite_rps = " << kStoreLimits.write_rps
+        << "\nvalue_kb = " << static_cast<double>(kStoreLimits.value_bytes) / kBytesPerKb
+        << "\ntxn_ops = " << kStoreLimits.txn_ops << "\n"
         << "[params.cloud]\nrps = 20.0\nlist_lag_s = 3.0\n"
         << "[params.quota]\ncpu = 1.0\nmemory_mb = 64.0\nmax_connections = 500\n";
     std::ofstream operator_xml(std::filesystem::path(options_.directory) / "operator.xml");
@@ -553,7 +559,7 @@
   std::mt19937_64 random_;
   Instant start_time_{};
   std::ofstream history_;
-  ScriptedStore store_{loop_};
+  ScriptedStore store_{loop_, kStoreLimits};
   ScriptedCloud cloud_{loop_};
   http::Client client_{loop_, 4, seconds(10)};
   std::vector<std::unique_ptr<http::Server>> servers_;
