Store client: log what a rejected transaction contains, and the overdraft

- A transaction answered 400 is logged with its first key and with writes, compares, largest value and total size, each beside the limit in force and the announced one.
- A watch answered 410 is logged with prefix and revision.
- Every 30 s, if there were any: calls sent, those beyond the budget, and watches answered 410.

--- a/src/dunlinknot/kv/client.cpp
+++ b/src/dunlinknot/kv/client.cpp
@@ -83,17 +83,18 @@
 
 // When the transaction exceeds an announced limit, puts the announced limits in force. The caller
 // then builds smaller transactions.
-void Client::on_refused_transaction(const Transaction& txn) {
-  size_t largest_value = 0;
-  for (const Write& write : txn.writes) {
-    const auto value = Document::parse(write.value);
-    if (value) largest_value = std::max(largest_value, wire::json_size(value->root()));
-  }
-  if (limits_.on_rejected_transaction(txn.writes.size(), largest_value)) adopt_limits();
+void Client::on_rejected_transaction(const Transaction& txn, std::string_view error) {
+  const TransactionSize size = size_of(txn);
+  spdlog::error(
+      "key-value store: transaction rejected as malformed, nothing was written: {}; first key {}, "
+      "{}",
+      error, txn.writes.empty() ? txn.compares.front().key : txn.writes.front().key,
+      limits_.describe(size));
+  if (limits_.on_rejected_transaction(size)) adopt_limits();
 }
 
 void Client::on_throttled(bool writes) {
-  ++throttled_;
+  ++counts_.throttled;
   if (writes && limits_.on_throttled_write()) adopt_limits();
 }
 
@@ -111,6 +112,8 @@
     if (requests_.level(now) < 1) return false;
     if (writes > 0 && available < std::min(writes, kMaxReservedWrites)) return false;
   }
+  ++counts_.sent;
+  if (requests_.level(now) < 1) ++counts_.over_budget;
   requests_.take_unconditionally(now);
   if (writes > 0) writes_.take_unconditionally(now, writes);
   if (is_user_request) user_writes_.take_unconditionally(now, writes);
@@ -120,7 +123,7 @@
 Task<http::Reply> Client::call(Request request) {
   const Instant sent = loop_.now();
   if (!reserve_budget(sent, request.writes, request.importance)) {
-    ++throttled_;
+    ++counts_.throttled;
     http::Reply refused;
     refused.outcome = Outcome::not_executed;
     refused.status = kTooManyRequests;
@@ -214,11 +217,7 @@
     result.outcome = Outcome::not_executed;
     const std::string error = store::read_error(root);
     result.lease_expired = store::is_expired_lease(error);
-    if (!result.lease_expired) {
-      spdlog::error("key-value store: transaction rejected as malformed, nothing was written: {}",
-                    error);
-      on_refused_transaction(txn);
-    }
+    if (!result.lease_expired) on_rejected_transaction(txn, error);
   } else {
     result.outcome = unreadable_response("a transaction", reply.status);
   }
@@ -282,6 +281,11 @@
   }
   if (reply.outcome != Outcome::ok) co_return result;
   if (reply.status == kGone) {
+    spdlog::info(
+        "key-value store: the changes under {} since revision {} are no longer kept; the keys are "
+        "read again",
+        prefix, since);
+    ++counts_.expired_watches;
     result.relist_required = true;
     co_return result;
   }
--- a/src/dunlinknot/kv/client.hpp
+++ b/src/dunlinknot/kv/client.hpp
@@ -10,6 +10,14 @@
 
 namespace dunlinknot::kv {
 
+// How a client used the store since the process started.
+struct CallCounts {
+  uint64_t sent = 0;             // calls sent to the store
+  uint64_t over_budget = 0;      // of these, essential calls sent although the budget was used up
+  uint64_t throttled = 0;        // calls refused for their rate, by the budget or by the store
+  uint64_t expired_watches = 0;  // watches of changes that the store no longer has (410)
+};
+
 // One per process, so that all components share its budget. Runs on the event loop passed to the
 // constructor. No call throws or retries. A call that exceeds the budget is refused without being
 // sent. The caller decides how to handle the outcome `unknown`.
@@ -38,8 +46,9 @@
   bool has_responded() const { return has_responded_; }
   Instant last_response_at() const { return last_response_at_; }
   Instant last_answered_request_at() const { return last_answered_request_at_; }
-  // Calls refused because of the rate, by the budget or by the service, since the process started.
-  uint64_t throttled() const { return throttled_; }
+  const CallCounts& counts() const { return counts_; }
+  // Calls per second that the budget allows.
+  double request_budget() const { return limits_.rps() * rate_share_; }
 
   // Whether the budget allows a user's request with this many writes. Half of the write rate is
   // available to users, however many writes the leader itself makes.
@@ -66,7 +75,7 @@
   };
   Task<http::Reply> call(Request request);
   bool reserve_budget(Instant now, double writes, Importance importance);
-  void on_refused_transaction(const Transaction& txn);
+  void on_rejected_transaction(const Transaction& txn, std::string_view error);
   void on_throttled(bool writes);
   void adopt_limits();
 
@@ -81,7 +90,7 @@
   bool has_responded_ = false;
   Instant last_response_at_{};
   Instant last_answered_request_at_{};
-  uint64_t throttled_ = 0;
+  CallCounts counts_;
 };
 
 }  // namespace dunlinknot::kv
--- a/src/dunlinknot/kv/limits.cpp
+++ b/src/dunlinknot/kv/limits.cpp
@@ -1,12 +1,27 @@
 // Decides which of the key-value store's limits are in force.
 #include "dunlinknot/kv/limits.hpp"
 
+#include <fmt/format.h>
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 
 namespace dunlinknot::kv {
 
+namespace {
+
+// The store accepts this many compares per permitted write of a transaction.
+constexpr size_t kComparesPerWrite = 4;
+
+// A quantity of a transaction with the limit that applies to it.
+std::string with_limit(std::string_view quantity, size_t size, size_t in_force, size_t announced) {
+  std::string text = fmt::format("{} {} (at most {}", size, quantity, in_force);
+  if (announced != in_force) text += fmt::format(", announced {}", announced);
+  return text + ")";
+}
+
+}  // namespace
+
 Limits::Limits(const settings::StoreLimits& current,
                const std::optional<settings::StoreLimits>& announced)
     : current_(current), announced_(announced) {}
@@ -16,14 +31,19 @@
                     : current_.value_bytes;
 }
 
-bool Limits::on_rejected_transaction(size_t writes, size_t largest_value) {
+size_t Limits::max_compares(const settings::StoreLimits& limits) {
+  return limits.txn_ops * kComparesPerWrite;
+}
+
+bool Limits::on_rejected_transaction(const TransactionSize& size) {
   if (!announced_) return false;
-  if (writes <= announced_->txn_ops && largest_value <= announced_->value_bytes) return false;
+  if (size.writes <= announced_->txn_ops && size.largest_value <= announced_->value_bytes)
+    return false;
   if (!announced_in_force_)
     spdlog::info(
         "key-value store: rejected a transaction of {} writes; the announced lower limits are in "
         "force from now on",
-        writes);
+        size.writes);
   announced_in_force_ = true;
   return true;
 }
@@ -38,4 +58,15 @@
   return true;
 }
 
+std::string Limits::describe(const TransactionSize& size) const {
+  const settings::StoreLimits& present = in_force();
+  const settings::StoreLimits& next = announced_ ? *announced_ : present;
+  return fmt::format(
+      "{}, {}, {}, {}", with_limit("writes", size.writes, present.txn_ops, next.txn_ops),
+      with_limit("compares", size.compares, max_compares(present), max_compares(next)),
+      with_limit("bytes in the largest value", size.largest_value, present.value_bytes,
+                 next.value_bytes),
+      with_limit("bytes in total", size.total, kMaxTransactionBytes, kMaxTransactionBytes));
+}
+
 }  // namespace dunlinknot::kv
--- a/src/dunlinknot/kv/limits.hpp
+++ b/src/dunlinknot/kv/limits.hpp
@@ -2,7 +2,9 @@
 // as a refused request shows that the service has lowered them, the limits announced there.
 #pragma once
 #include <optional>
+#include <string>
 
+#include "dunlinknot/kv/transaction_size.hpp"
 #include "dunlinknot/settings/settings.hpp"
 
 namespace dunlinknot::kv {
@@ -19,18 +21,27 @@
   size_t value_bytes() const;
   // Maximum number of writes in one transaction.
   size_t txn_ops() const { return in_force().txn_ops; }
+  // Maximum number of compares in one transaction.
+  size_t max_compares() const { return max_compares(in_force()); }
+  // Maximum size of one transaction in bytes, encoded as JSON.
+  static constexpr size_t kMaxTransactionBytes = size_t{64} * 1024;
   // Maximum requests and writes per second.
   double rps() const { return in_force().rps; }
   double write_rps() const { return in_force().write_rps; }
 
   // Called when the service rejected a transaction as malformed. When the transaction exceeds an
   // announced limit, puts the announced limits in force and returns true.
-  bool on_rejected_transaction(size_t writes, size_t largest_value);
+  bool on_rejected_transaction(const TransactionSize& size);
   // Called when the service refused a request with writes because of its rate. When the announced
   // limits were not in force yet, puts them in force and returns true.
   bool on_throttled_write();
 
+  // Each quantity of `size` with its limit in force and, if that is another one, its announced
+  // limit. For the log.
+  std::string describe(const TransactionSize& size) const;
+
  private:
+  static size_t max_compares(const settings::StoreLimits& limits);
   const settings::StoreLimits& in_force() const {
     return announced_in_force_ ? *announced_ : current_;
   }
--- a/src/dunlinknot/node/counters.hpp
+++ b/src/dunlinknot/node/counters.hpp
@@ -13,11 +13,11 @@
 
 // Event counts since this process started.
 struct Counters {
-  uint64_t accepted_jobs = 0;          // jobs accepted
-  uint64_t unavailable = 0;            // user requests answered with 503
-  uint64_t throttled_store_calls = 0;  // key-value store calls refused for their rate
-  uint64_t rejected_connections = 0;   // connections over the server's limit
-  uint64_t preemptions = 0;            // tasks preempted
+  uint64_t accepted_jobs = 0;         // jobs accepted
+  uint64_t unavailable = 0;           // user requests answered with 503
+  kv::CallCounts store_calls;         // calls to the key-value store
+  uint64_t rejected_connections = 0;  // connections over the server's limit
+  uint64_t preemptions = 0;           // tasks preempted
 };
 
 // Reads the counters of the other components and logs the difference since the last line. Runs on
@@ -36,6 +36,7 @@
 
  private:
   Counters read() const;
+  void log_store_calls(const kv::CallCounts& last, const kv::CallCounts& now) const;
   void log_cluster();
 
   cluster::LeaderContext& context_;
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -18,16 +18,18 @@
   EXPECT_EQ(limits.value_bytes(), kAnnouncedValueBytes)
       << "the lower value limit applies from the start";
   EXPECT_EQ(limits.txn_ops(), 16u);
-  EXPECT_FALSE(
-      limits.on_rejected_transaction(kAnnouncedLimits.txn_ops, kAnnouncedLimits.value_bytes))
+  EXPECT_FALSE(limits.on_rejected_transaction(
+      {.writes = kAnnouncedLimits.txn_ops, .largest_value = kAnnouncedLimits.value_bytes}))
       << "both are exactly at the limit";
   EXPECT_EQ(limits.txn_ops(), 16u);
-  EXPECT_TRUE(limits.on_rejected_transaction(kAnnouncedLimits.txn_ops + 1, 10));
+  EXPECT_TRUE(limits.on_rejected_transaction(
+      {.writes = kAnnouncedLimits.txn_ops + 1, .largest_value = 10}));
   EXPECT_EQ(limits.txn_ops(), kAnnouncedLimits.txn_ops);
   EXPECT_EQ(limits.write_rps(), kAnnouncedLimits.write_rps);
 
   kv::Limits by_value(present, kAnnouncedLimits);
-  EXPECT_TRUE(by_value.on_rejected_transaction(1, kAnnouncedLimits.value_bytes + 1));
+  EXPECT_TRUE(by_value.on_rejected_transaction(
+      {.writes = 1, .largest_value = kAnnouncedLimits.value_bytes + 1}));
   EXPECT_EQ(by_value.txn_ops(), kAnnouncedLimits.txn_ops);
 
   kv::Limits by_rate(present, kAnnouncedLimits);
@@ -36,7 +38,7 @@
   EXPECT_FALSE(by_rate.on_throttled_write()) << "the announced limits are already in force";
 
   kv::Limits unannounced(present);
-  EXPECT_FALSE(unannounced.on_rejected_transaction(100, 100'000));
+  EXPECT_FALSE(unannounced.on_rejected_transaction({.writes = 100, .largest_value = 100'000}));
   EXPECT_FALSE(unannounced.on_throttled_write());
   EXPECT_EQ(unannounced.value_bytes(), present.value_bytes);
   EXPECT_EQ(unannounced.txn_ops(), present.txn_ops);
