Limits: recognise lowered limits by a transaction's compares

Cause: the writer of machine records sent 2 writes with 33 compares; 20 are permitted then. kv::Limits adopted the announced limits only if the writes or the largest value of a refused transaction exceeded them, so the writer built the same transaction again, 8 times a second.

Fix: every quantity of the refused transaction that the announced limits bound is checked. Once they are in force, the writer builds transactions of at most 5 writes and 20 compares, which the store accepts.

--- a/src/dunlinknot/kv/limits.cpp
+++ b/src/dunlinknot/kv/limits.cpp
@@ -37,13 +37,15 @@
 
 bool Limits::on_rejected_transaction(const TransactionSize& size) {
   if (!announced_) return false;
-  if (size.writes <= announced_->txn_ops && size.largest_value <= announced_->value_bytes)
-    return false;
+  const bool explained = size.writes > announced_->txn_ops ||
+                         size.compares > max_compares(*announced_) ||
+                         size.largest_value > announced_->value_bytes;
+  if (!explained) return false;
   if (!announced_in_force_)
     spdlog::info(
-        "key-value store: rejected a transaction of {} writes; the announced lower limits are in "
-        "force from now on",
-        size.writes);
+        "key-value store: rejected a transaction of {} writes and {} compares; the announced lower "
+        "limits are in force from now on",
+        size.writes, size.compares);
   announced_in_force_ = true;
   return true;
 }
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -44,6 +44,20 @@
   EXPECT_EQ(unannounced.txn_ops(), present.txn_ops);
 }
 
+// Guards against lowered limits that stay unrecognised because the refused transaction has few
+// writes and small values, but more compares than the announced limits permit.
+TEST(Limits, AnnouncedLimitsApplyAfterRefusalForTooManyCompares) {
+  const settings::StoreLimits present{200, 80, 16384, 16};
+  constexpr size_t kComparesPerWrite = 4;  // by the protocol
+  constexpr size_t kPermitted = kComparesPerWrite * kAnnouncedLimits.txn_ops;
+  kv::Limits limits(present, kAnnouncedLimits);
+  EXPECT_FALSE(limits.on_rejected_transaction({.writes = 2, .compares = kPermitted}));
+  EXPECT_EQ(limits.max_compares(), kComparesPerWrite * present.txn_ops);
+  EXPECT_TRUE(limits.on_rejected_transaction({.writes = 2, .compares = kPermitted + 1}));
+  EXPECT_EQ(limits.max_compares(), kPermitted);
+  EXPECT_EQ(limits.txn_ops(), kAnnouncedLimits.txn_ops);
+}
+
 TEST(Limits, ProgressChunkFitsValueLimitAndIsReadBack) {
   const std::vector<bool> all_done(wire::kChunkTasks, true);
   const auto size = [&](uint32_t storable) {
@@ -129,6 +143,28 @@
   expect_no_violations(site);
 }
 
+// Guards against a leader that starts nothing after the limits fell: many new jobs on few machines
+// need more compares than the lowered limits permit, but no more writes.
+TEST_F(LowerLimits, ManyNewJobsOnFewMachinesStartAfterLimitsFell) {
+  constexpr size_t kJobs = 30;
+  apply_lower_limits();
+  site.cloud.unavailable = true;  // so that the first machines come up when all jobs wait
+  for (size_t n = 0; n < kJobs; ++n) {
+    JobSpec small = job(job_id(n));
+    small.need = {0.5, 0, 1};
+    ASSERT_EQ(site.submit(small).status, 201);
+    site.run_for(Millis(100));
+  }
+  ASSERT_EQ(site.store.throttled, 0u);
+  site.cloud.unavailable = false;
+  site.run_for(seconds(30));
+  EXPECT_EQ(site.starts, kJobs);
+  EXPECT_LE(site.store.oversized, 1u);
+  site.run_for(seconds(30));
+  for (size_t n = 0; n < kJobs; ++n) EXPECT_TRUE(is_done(job_id(n))) << job_id(n);
+  expect_no_violations(site);
+}
+
 TEST_F(LowerLimits, JobsCompleteWhenLimitsFallWhileTransactionOutcomesAreUnknown) {
   site.store.fault_delay = seconds(3);
   for (size_t n = 0; n < 6; ++n) ASSERT_EQ(site.submit(job(job_id(n), 8)).status, 201);
