Machine records: keep transactions within 64 KiB of JSON

Cause: the size in JSON was estimated as twice the packed size, which small numbers exceed, and a record of any size was added to a transaction of up to 40 KiB. With values of 40 KiB, two records of 2,200 tasks were 68 KiB. A value limit above 64 KiB in the settings could not be met by any transaction.

Change: the parts of a transaction have upper bounds in JSON, as those of a record have; a record is added only if the bound stays within 64 KiB. The value limit leaves 8 KiB of a transaction to keys and compares. No transaction gets larger limits than before.

--- a/src/dunlinknot/cluster/allocation_store/machine_record_writer.cpp
+++ b/src/dunlinknot/cluster/allocation_store/machine_record_writer.cpp
@@ -11,11 +11,8 @@
 
 // The maximum number of dirty machines that a batch skips because their records cannot be added.
 constexpr size_t kMaxSkippedMachines = 8;
-// The limit of the values in a transaction. The key-value store accepts 64 KiB in total.
-constexpr size_t kMaxBatchBytes = size_t{40} * 1024;
-constexpr size_t kMaxJsonBytesPerPackedByte = 2;  // an upper bound
-// The key-value store accepts this many compares per permitted write of a transaction.
-constexpr size_t kMaxComparesPerWrite = 4;
+// No further record is added to a transaction of this size in JSON.
+constexpr size_t kFullBatchBytes = size_t{40} * 1024;
 
 // The open jobs with allocations on the machine that are not durable yet.
 std::set<std::string> newly_allocated_jobs(const Cluster& cluster, const Machine& machine) {
@@ -28,6 +25,17 @@
   return jobs;
 }
 
+// An upper bound of the bytes in JSON that the machine's record and its compares add to a
+// transaction, which compares the records of `jobs` too.
+size_t added_bytes(const Cluster& cluster, const Machine& machine,
+                   const std::set<std::string>& jobs) {
+  const std::string key = wire::machine_key(machine.id);
+  size_t bytes =
+      wire::store::write_size(key, cluster.record_size(machine)) + wire::store::compare_size(key);
+  for (const std::string& id : jobs) bytes += wire::store::compare_size(wire::job_key(id));
+  return bytes;
+}
+
 // Removes new allocations from a record, except those of the jobs in `kept_jobs`.
 void remove_new_allocations(wire::MachineRecord& record, const Machine& machine,
                             const std::set<std::string>& kept_jobs) {
@@ -86,13 +94,13 @@
 
 // How many more compares the transaction can contain, besides that of the next machine's record.
 size_t MachineRecordWriter::compares_left(const Batch& batch) const {
-  const size_t max_compares = access_.max_writes() * kMaxComparesPerWrite;
+  const size_t max_compares = access_.max_compares();
   const size_t used = batch.txn.compares.size() + batch.jobs.size() + 1;
   return max_compares > used ? max_compares - used : 0;
 }
 
 bool MachineRecordWriter::full(const Batch& batch) const {
-  return batch.machines.size() >= access_.max_writes() || batch.bytes > kMaxBatchBytes ||
+  return batch.machines.size() >= access_.max_writes() || batch.bytes > kFullBatchBytes ||
          compares_left(batch) == 0;
 }
 
@@ -113,7 +121,10 @@
   std::set<std::string> added_jobs = newly_allocated_jobs(cluster, machine);
   for (const std::string& id : batch.jobs) added_jobs.erase(id);
   const size_t room = compares_left(batch);
-  if (added_jobs.size() > room && !batch.machines.empty()) return false;
+  const size_t bytes = added_bytes(cluster, machine, added_jobs);
+  const bool fits =
+      added_jobs.size() <= room && batch.bytes + bytes <= kv::Limits::kMaxTransactionBytes;
+  if (!fits && !batch.machines.empty()) return false;
   MachineWrite write{machine.id, machine.mod_revision, cluster.record_of(machine)};
   if (added_jobs.size() > room) {
     // The machine has more jobs than one transaction can compare. The other jobs are written by
@@ -128,7 +139,7 @@
     return true;
   }
   batch.jobs.insert(added_jobs.begin(), added_jobs.end());
-  batch.bytes += value.size() * kMaxJsonBytesPerPackedByte;
+  batch.bytes += bytes;
   batch.txn.compares.push_back({wire::machine_key(machine.id), write.mod_revision});
   batch.txn.writes.push_back({wire::machine_key(machine.id), std::move(value), 0});
   machine.write_in_flight = true;
@@ -171,6 +182,7 @@
                                                         bool include_shrunk) const {
   Batch batch;
   batch.txn.compares.push_back(access_.context.epoch_compare());
+  batch.bytes = wire::store::empty_transaction_size() + wire::store::compare_size(wire::kEpochKey);
   collect_dirty(batch, cluster);
   if (include_shrunk && cluster.dirty_machine_count() == 0) collect_shrunk(batch, cluster);
   for (const std::string& id : batch.jobs) {
@@ -226,8 +238,8 @@
   // Records that only lost entries are rewritten only if the budget has slack: an obsolete entry
   // delays a new leader briefly, whereas a delayed allocation leaves a machine unused.
   if (dirty_machines == 0 && !access_.has_slack()) co_return false;
-  co_await access_.await_budget(
-      term, static_cast<double>(std::min(dirty_machines, access_.max_writes())));
+  co_await access_.await_budget(term,
+                                static_cast<double>(std::min(dirty_machines, access_.max_writes())));
   if (!context.in_term(term)) co_return false;
   Batch batch = context.leader_state.with(
       [&](LeaderState& leader) { return collect(leader.cluster, include_shrunk); });
--- a/src/dunlinknot/cluster/allocation_store/machine_record_writer.hpp
+++ b/src/dunlinknot/cluster/allocation_store/machine_record_writer.hpp
@@ -30,7 +30,7 @@
   struct Batch {  // the contents of one transaction
     std::vector<MachineWrite> machines;
     std::set<std::string> jobs;  // jobs with new allocations, whose records are compared
-    size_t bytes = 0;            // estimated size of the values in JSON
+    size_t bytes = 0;            // an upper bound of the transaction's size in JSON
     kv::Transaction txn;
   };
   struct Applied {  // the follow-up work that the result of a transaction requires
--- a/src/dunlinknot/cluster/allocation_store/store_access.cpp
+++ b/src/dunlinknot/cluster/allocation_store/store_access.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr size_t kMaxWrites = 16;  // per transaction, even if the key-value store allows more
 // The share of the write burst that is reserved for users' requests.
 constexpr double kUserReserveShare = 0.2;
 // A transaction waits for at most this share of the write burst.
@@ -22,6 +21,10 @@
   return std::min(store.limits().txn_ops(), kMaxWrites);
 }
 
+size_t StoreAccess::max_compares() const {
+  return std::min(store.limits().max_compares(), kMaxCompares);
+}
+
 bool StoreAccess::has_slack() const {
   return store.available_writes() >= store.write_burst() * kSlackShare;
 }
--- a/src/dunlinknot/cluster/allocation_store/store_access.hpp
+++ b/src/dunlinknot/cluster/allocation_store/store_access.hpp
@@ -39,8 +39,13 @@
   kv::Client& store;
   AllocationStoreHandler& handler;
 
-  // The maximum number of writes per transaction.
+  // Per transaction, even if the key-value store allows more.
+  static constexpr size_t kMaxWrites = 16;
+  static constexpr size_t kMaxCompares = 64;
+
+  // The maximum numbers of writes and compares per transaction.
   size_t max_writes() const;
+  size_t max_compares() const;
   // Whether enough of the write budget is left for writes that can be delayed.
   bool has_slack() const;
   // Waits until the write budget suffices for `writes` writes in addition to the reserve for users'
--- a/src/dunlinknot/kv/limits.cpp
+++ b/src/dunlinknot/kv/limits.cpp
@@ -13,6 +13,9 @@
 // The store accepts this many compares per permitted write of a transaction.
 constexpr size_t kComparesPerWrite = 4;
 
+// The part of a transaction that is reserved for its compares and keys, in bytes of JSON.
+constexpr size_t kReservedBytes = size_t{8} * 1024;
+
 // A quantity of a transaction with the limit that applies to it.
 std::string with_limit(std::string_view quantity, size_t size, size_t in_force, size_t announced) {
   std::string text = fmt::format("{} {} (at most {}", size, quantity, in_force);
@@ -27,8 +30,9 @@
     : current_(current), announced_(announced) {}
 
 size_t Limits::value_bytes() const {
-  return announced_ ? std::min(current_.value_bytes, announced_->value_bytes)
-                    : current_.value_bytes;
+  const size_t by_transaction = kMaxTransactionBytes - kReservedBytes;
+  const size_t by_announced = announced_ ? announced_->value_bytes : by_transaction;
+  return std::min({current_.value_bytes, by_announced, by_transaction});
 }
 
 size_t Limits::max_compares(const settings::StoreLimits& limits) {
--- a/src/dunlinknot/kv/limits.hpp
+++ b/src/dunlinknot/kv/limits.hpp
@@ -17,7 +17,8 @@
          const std::optional<settings::StoreLimits>& announced = std::nullopt);
 
   // Maximum size of a value in bytes, encoded as JSON. The lower of the current and the announced
-  // limit from the start, so that stored values need not be made smaller later.
+  // limit from the start, so that stored values need not be made smaller later, and low enough for
+  // a transaction that contains the value and as many compares as are made with one.
   size_t value_bytes() const;
   // Maximum number of writes in one transaction.
   size_t txn_ops() const { return in_force().txn_ops; }
--- a/src/dunlinknot/wire/store_messages.cpp
+++ b/src/dunlinknot/wire/store_messages.cpp
@@ -1,6 +1,8 @@
 // Encodes and decodes the messages of the key-value store. Its field names are used only here.
 #include "dunlinknot/wire/store_messages.hpp"
 
+#include <limits>
+
 namespace dunlinknot::wire::store {
 
 namespace {
@@ -23,6 +25,8 @@
 constexpr std::string_view kError = "error";
 constexpr std::string_view kLeaseTtl = "ttlMs";
 
+constexpr size_t kMaxCountDigits = std::numeric_limits<uint64_t>::digits10 + 1;
+
 // Empty if the kind of change is unknown to this version.
 std::optional<Change> read_change(View entry) {
   Change change;
@@ -82,6 +86,20 @@
   return writer.take();
 }
 
+size_t empty_transaction_size() {
+  return std::string_view(R"({"guards": [], "writes": []})").size();
+}
+
+size_t compare_size(std::string_view key) {
+  constexpr std::string_view kFrame = R"({"key": "", "stamp": }, )";
+  return kFrame.size() + key.size() + kMaxCountDigits;
+}
+
+size_t write_size(std::string_view key, size_t value_size) {
+  constexpr std::string_view kFrame = R"({"put": "", "v": , "tenancy": }, )";
+  return kFrame.size() + key.size() + value_size + kMaxCountDigits;
+}
+
 std::string write_lease_request(Millis ttl) {
   Writer writer;
   writer.map(1).key(kLeaseTtl).count(static_cast<uint64_t>(ttl.count()));
--- a/src/dunlinknot/wire/store_messages.hpp
+++ b/src/dunlinknot/wire/store_messages.hpp
@@ -76,6 +76,12 @@
 std::string write_transaction(const Transaction& transaction);
 std::string write_lease_request(Millis ttl);
 
+// Upper bounds of the bytes that the parts of a transaction add to its size in JSON: one without
+// compares and writes, a compare on `key`, and a write of `value_size` bytes to `key`.
+size_t empty_transaction_size();
+size_t compare_size(std::string_view key);
+size_t write_size(std::string_view key, size_t value_size);
+
 // Parts of responses; empty if the response is malformed.
 std::optional<KeyValue> read_key_value(View item);
 std::optional<uint64_t> read_revision(View response);
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -12,6 +12,11 @@
 constexpr size_t kAnnouncedValueBytes = 2048;
 constexpr settings::StoreLimits kAnnouncedLimits{1000, 40, kAnnouncedValueBytes, 5};
 
+// An id of the longest permitted form.
+std::string job_id_with_digits(size_t digits) {
+  return "run-" + std::string(digits, '9');
+}
+
 TEST(Limits, AnnouncedLimitsApplyOnlyAfterRefusalThatTheyExplain) {
   const settings::StoreLimits present{200, 80, 16384, 16};
   kv::Limits limits(present, kAnnouncedLimits);
@@ -58,6 +63,22 @@
   EXPECT_EQ(limits.txn_ops(), kAnnouncedLimits.txn_ops);
 }
 
+// Guards against values that the settings permit but that no transaction can contain.
+TEST(Limits, ValueLimitLeavesRoomForComparesInTransaction) {
+  constexpr settings::StoreLimits large_values{200, 80, size_t{1} << 20, 16};
+  const kv::Limits limits(large_values);
+  kv::Transaction transaction;
+  std::string key = "host/vm-";
+  key.resize(200, '0');  // the longest key
+  wire::Writer value;
+  value.text(std::string(limits.value_bytes() - 2, 'x'));  // two quotes are added in JSON
+  transaction.writes.push_back({key, value.take(), 0});
+  for (size_t i = 0; i < limits.max_compares() - 1; ++i)
+    transaction.compares.push_back({wire::job_key(job_id_with_digits(18)), ~uint64_t{0}});
+  transaction.compares.push_back({key, ~uint64_t{0}});
+  EXPECT_LE(kv::size_of(transaction).total, kv::Limits::kMaxTransactionBytes);
+}
+
 TEST(Limits, ProgressChunkFitsValueLimitAndIsReadBack) {
   const std::vector<bool> all_done(wire::kChunkTasks, true);
   const auto size = [&](uint32_t storable) {
--- a/tests/machine_record_writer_test.cpp
+++ b/tests/machine_record_writer_test.cpp
@@ -115,5 +115,20 @@
   EXPECT_EQ(leader.store.oversized, 1u) << "one refusal shows that the limits fell";
 }
 
+// Guards against transactions above the store's limit of 64 KiB: entries of tasks with large
+// indices and attempts take more than twice their packed size in JSON, the form that is limited.
+TEST(MachineRecordWriter, LargeRecordsOfSeveralMachinesAreWrittenInSeveralTransactions) {
+  constexpr settings::StoreLimits kLargeValues{
+      .rps = 200, .write_rps = 80, .value_bytes = size_t{40} * 1024, .txn_ops = 16};
+  constexpr size_t kMachines = 6;
+  constexpr uint32_t kTasksPerMachine = 2200;
+  Leader leader(kLargeValues);
+  for (size_t n = 0; n < kMachines; ++n)
+    leader.allocate(machine_id(n), job(job_id(n), kTasksPerMachine));
+  leader.simulation.run_for(seconds(5));
+  EXPECT_EQ(leader.durable(), kMachines * kTasksPerMachine);
+  EXPECT_EQ(leader.store.oversized, 0u);
+}
+
 }  // namespace
 }  // namespace dunlinknot::test
