Machine records: one that the store rejects no longer blocks the others

Whatever the reason of a 400 was, the writer built the same transaction again, with the records of up to 16 machines, every 120 ms.

Change: a rejection that no known limit explains is a result of its own (TransactionResult::rejected). The next transactions contain half as many records, down to one; a record that is rejected alone gives up its planned allocations, and the tasks are placed again. Applied transactions double the number again.

MachineRecordWriter.RecordThatStoreRejectsDoesNotKeepOthersFromBeingWritten failed before: 0 of 7 records were written in 5 s. The scripted store and cloud can answer 400 and 500.

--- a/src/dunlinknot/cluster/allocation_store/machine_record_writer.cpp
+++ b/src/dunlinknot/cluster/allocation_store/machine_record_writer.cpp
@@ -1,6 +1,8 @@
 // Collecting, writing and rereading the records of machines.
 #include "dunlinknot/cluster/allocation_store/machine_record_writer.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace dunlinknot::cluster {
@@ -99,8 +101,12 @@
   return max_compares > used ? max_compares - used : 0;
 }
 
+size_t MachineRecordWriter::max_machines() const {
+  return std::min(access_.max_writes(), max_machines_);
+}
+
 bool MachineRecordWriter::full(const Batch& batch) const {
-  return batch.machines.size() >= access_.max_writes() || batch.bytes > kFullBatchBytes ||
+  return batch.machines.size() >= max_machines() || batch.bytes > kFullBatchBytes ||
          compares_left(batch) == 0;
 }
 
@@ -212,9 +218,27 @@
   return effects;
 }
 
+// The same transaction would be rejected again. The next ones contain fewer records; if the record
+// of a single machine is rejected, the tasks of its planned allocations are placed elsewhere. The
+// stored record then contains ended allocations, but none is missing (safety 1).
+Effects MachineRecordWriter::apply_rejection(Cluster& cluster, const Batch& batch) {
+  max_machines_ = std::max<size_t>(batch.machines.size() / 2, 1);
+  if (batch.machines.size() > 1) return {};
+  const std::string& id = batch.machines.front().id;
+  Machine* machine = cluster.find_machine(id);
+  if (!machine) return {};
+  spdlog::error(
+      "machine {}: the key-value store does not accept its record; its new tasks are placed "
+      "again",
+      id);
+  machine->dirty = machine->shrunk = false;
+  return cluster.drop_planned(*machine, access_.context.loop.now());
+}
+
 MachineRecordWriter::Applied MachineRecordWriter::apply_result(
     Cluster& cluster, const Batch& batch, const kv::TransactionResult& result) {
   Applied applied;
+  if (result.applied) max_machines_ = std::min(max_machines_ * 2, StoreAccess::kMaxWrites);
   for (const MachineWrite& write : batch.machines) {
     applied.effects |= apply_write(cluster, write, result);
   }
@@ -223,6 +247,7 @@
     applied.effects |= cluster.drop_planned_for_job(id, access_.context.loop.now());
     applied.changed_jobs.push_back(id);
   }
+  if (result.rejected) applied.effects |= apply_rejection(cluster, batch);
   return applied;
 }
 
@@ -239,7 +264,7 @@
   // delays a new leader briefly, whereas a delayed allocation leaves a machine unused.
   if (dirty_machines == 0 && !access_.has_slack()) co_return false;
   co_await access_.await_budget(term,
-                                static_cast<double>(std::min(dirty_machines, access_.max_writes())));
+                                static_cast<double>(std::min(dirty_machines, max_machines())));
   if (!context.in_term(term)) co_return false;
   Batch batch = context.leader_state.with(
       [&](LeaderState& leader) { return collect(leader.cluster, include_shrunk); });
--- a/src/dunlinknot/cluster/allocation_store/machine_record_writer.hpp
+++ b/src/dunlinknot/cluster/allocation_store/machine_record_writer.hpp
@@ -45,17 +45,22 @@
   void collect_dirty(Batch& batch, Cluster& cluster) const;
   void collect_shrunk(Batch& batch, Cluster& cluster) const;
   bool add_record(Batch& batch, Cluster& cluster, Machine& machine) const;
+  size_t max_machines() const;
   bool full(const Batch& batch) const;
   size_t compares_left(const Batch& batch) const;
 
   Applied apply_result(Cluster& cluster, const Batch& batch, const kv::TransactionResult& result);
   Effects apply_write(Cluster& cluster, const MachineWrite& write,
                       const kv::TransactionResult& result);
+  Effects apply_rejection(Cluster& cluster, const Batch& batch);
 
   const StoreAccess& access_;
   const JobRecords& jobs_;
   RecordCleaner& cleaner_;
   bool mod_revisions_unknown_ = false;  // some machine's record must be reread before writing
+  // Records per transaction: fewer after a transaction that the store rejects for a reason that is
+  // not known, so that one such record does not keep the others from being written.
+  size_t max_machines_ = StoreAccess::kMaxWrites;
 };
 
 }  // namespace dunlinknot::cluster
--- a/src/dunlinknot/kv/client.cpp
+++ b/src/dunlinknot/kv/client.cpp
@@ -81,16 +81,18 @@
   user_writes_.set_rate(now, limits_.write_rps() * rate_share_ * kUserWriteShare);
 }
 
-// When the transaction exceeds an announced limit, puts the announced limits in force. The caller
-// then builds smaller transactions.
-void Client::on_rejected_transaction(const Transaction& txn, std::string_view error) {
+// When the transaction exceeds an announced limit, puts the announced limits in force and returns
+// true. The caller then builds smaller transactions.
+bool Client::on_rejected_transaction(const Transaction& txn, std::string_view error) {
   const TransactionSize size = size_of(txn);
   spdlog::error(
       "key-value store: transaction rejected as malformed, nothing was written: {}; first key {}, "
       "{}",
       error, txn.writes.empty() ? txn.compares.front().key : txn.writes.front().key,
       limits_.describe(size));
-  if (limits_.on_rejected_transaction(size)) adopt_limits();
+  const bool explained = limits_.on_rejected_transaction(size);
+  if (explained) adopt_limits();
+  return explained;
 }
 
 void Client::on_throttled(bool writes) {
@@ -217,7 +219,7 @@
     result.outcome = Outcome::not_executed;
     const std::string error = store::read_error(root);
     result.lease_expired = store::is_expired_lease(error);
-    if (!result.lease_expired) on_rejected_transaction(txn, error);
+    if (!result.lease_expired) result.rejected = !on_rejected_transaction(txn, error);
   } else {
     result.outcome = unreadable_response("a transaction", reply.status);
   }
--- a/src/dunlinknot/kv/client.hpp
+++ b/src/dunlinknot/kv/client.hpp
@@ -75,7 +75,7 @@
   };
   Task<http::Reply> call(Request request);
   bool reserve_budget(Instant now, double writes, Importance importance);
-  void on_rejected_transaction(const Transaction& txn, std::string_view error);
+  bool on_rejected_transaction(const Transaction& txn, std::string_view error);
   void on_throttled(bool writes);
   void adopt_limits();
 
--- a/src/dunlinknot/kv/types.hpp
+++ b/src/dunlinknot/kv/types.hpp
@@ -41,7 +41,10 @@
   Outcome outcome = Outcome::unknown;
   bool applied = false;
   bool lease_expired = false;  // refused because a lease named in a write does not exist any more
-  uint64_t revision = 0;       // when applied: the mod revision of all written keys
+  // The store rejects this transaction whenever it is sent, and no known limit explains why. Not
+  // executed.
+  bool rejected = false;
+  uint64_t revision = 0;            // when applied: the mod revision of all written keys
   std::vector<std::string> failed;  // keys whose compare failed
   bool compare_failed(std::string_view key) const;
 };
--- a/tests/machine_record_writer_test.cpp
+++ b/tests/machine_record_writer_test.cpp
@@ -130,5 +130,20 @@
   EXPECT_EQ(leader.store.oversized, 0u);
 }
 
+// Guards against a record that keeps all others from being written, because the transaction that
+// contains it is repeated unchanged although the store rejects it whenever it is sent.
+TEST(MachineRecordWriter, RecordThatStoreRejectsDoesNotKeepOthersFromBeingWritten) {
+  constexpr size_t kMachines = 8;
+  Leader leader(kPresentLimits);
+  const std::string rejected_key = wire::machine_key(machine_id(3));
+  leader.store.call_fault = [&](const http::Call& call) {
+    return is_transaction_on(call, rejected_key) ? CallFault::reject : CallFault::none;
+  };
+  for (size_t n = 0; n < kMachines; ++n) leader.allocate(machine_id(n), job(job_id(n)));
+  leader.simulation.run_for(seconds(5));
+  EXPECT_EQ(leader.durable(), kMachines - 1);
+  EXPECT_EQ(leader.planned(), 0u) << "the task on the rejected machine must be placed elsewhere";
+}
+
 }  // namespace
 }  // namespace dunlinknot::test
--- a/tests/scripted_cloud.cpp
+++ b/tests/scripted_cloud.cpp
@@ -14,6 +14,7 @@
   co_await loop_.sleep(Millis(80));
   if (unavailable || fault == CallFault::refuse)
     co_return reply(503, wire::write_error("unavailable"));
+  if (const auto faulty = reply_to_faulty_call(fault)) co_return *faulty;
   if (fault == CallFault::apply_late) loop_.spawn(execute_later(call, sender_token));
   if (fault == CallFault::apply_late || fault == CallFault::lose_request) {
     co_await loop_.sleep_until(call.deadline);
--- a/tests/scripted_store.cpp
+++ b/tests/scripted_store.cpp
@@ -321,8 +321,8 @@
   ++requests;
   const CallFault fault = call_fault ? call_fault(call) : CallFault::none;
   co_await loop_.sleep(Millis(3));
-  if (fault == CallFault::refuse || (outage && !call.target.starts_with("/changes")))
-    co_return reply(503);
+  if (outage && !call.target.starts_with("/changes")) co_return reply(503);
+  if (const auto faulty = reply_to_faulty_call(fault)) co_return *faulty;
   if (fault == CallFault::lose_request) {
     co_await loop_.sleep_until(call.deadline);
     co_return Reply{};
--- a/tests/scripted_transport.cpp
+++ b/tests/scripted_transport.cpp
@@ -22,6 +22,13 @@
   return dropped;
 }
 
+std::optional<Reply> reply_to_faulty_call(CallFault fault) {
+  if (fault == CallFault::refuse) return reply(503);
+  if (fault == CallFault::reject) return reply(400);
+  if (fault == CallFault::fail) return reply(500);
+  return std::nullopt;
+}
+
 std::string query_value(const std::string& target, const std::string& name) {
   const auto at = target.find(name + "=");
   if (at == std::string::npos) return "";
