Limits: recognise a lowered rate of requests by throttled reads

Only a 429 to a request with writes put the announced limits into force, so a node that reads only kept to the old rate of requests if state.next lowers `rps`.

Change: a 429 to a request without writes counts too, if the announced rate of requests is lower than the present one.

--- a/src/dunlinknot/kv/client.cpp
+++ b/src/dunlinknot/kv/client.cpp
@@ -95,9 +95,9 @@
   return explained;
 }
 
-void Client::on_throttled(bool writes) {
+void Client::on_throttled(bool has_writes) {
   ++counts_.throttled;
-  if (writes && limits_.on_throttled_write()) adopt_limits();
+  if (limits_.on_throttled(has_writes)) adopt_limits();
 }
 
 bool Client::has_user_budget(double writes) {
--- a/src/dunlinknot/kv/client.hpp
+++ b/src/dunlinknot/kv/client.hpp
@@ -76,7 +76,7 @@
   Task<http::Reply> call(Request request);
   bool reserve_budget(Instant now, double writes, Importance importance);
   bool on_rejected_transaction(const Transaction& txn, std::string_view error);
-  void on_throttled(bool writes);
+  void on_throttled(bool has_writes);
   void adopt_limits();
 
   EventLoop& loop_;
--- a/src/dunlinknot/kv/limits.cpp
+++ b/src/dunlinknot/kv/limits.cpp
@@ -54,12 +54,13 @@
   return true;
 }
 
-bool Limits::on_throttled_write() {
+bool Limits::on_throttled(bool has_writes) {
   if (!announced_ || announced_in_force_) return false;
+  if (!has_writes && announced_->rps >= current_.rps) return false;
   spdlog::info(
-      "key-value store: throttled writes; the announced limit of {:.0f} writes/s is in force from "
-      "now on",
-      announced_->write_rps);
+      "key-value store: throttled {}; the announced limits of {:.0f} requests/s and {:.0f} writes/s"
+      " are in force from now on",
+      has_writes ? "writes" : "requests", announced_->rps, announced_->write_rps);
   announced_in_force_ = true;
   return true;
 }
--- a/src/dunlinknot/kv/limits.hpp
+++ b/src/dunlinknot/kv/limits.hpp
@@ -33,9 +33,10 @@
   // Called when the service rejected a transaction as malformed. When the transaction exceeds an
   // announced limit, puts the announced limits in force and returns true.
   bool on_rejected_transaction(const TransactionSize& size);
-  // Called when the service refused a request with writes because of its rate. When the announced
-  // limits were not in force yet, puts them in force and returns true.
-  bool on_throttled_write();
+  // Called when the service refused a request because of its rate. When the announced limits were
+  // not in force yet and explain the refusal, puts them in force and returns true. A request
+  // without writes can exceed only the rate of requests.
+  bool on_throttled(bool has_writes);
 
   // Each quantity of `size` with its limit in force and, if that is another one, its announced
   // limit. For the log.
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -38,13 +38,13 @@
   EXPECT_EQ(by_value.txn_ops(), kAnnouncedLimits.txn_ops);
 
   kv::Limits by_rate(present, kAnnouncedLimits);
-  EXPECT_TRUE(by_rate.on_throttled_write());
+  EXPECT_TRUE(by_rate.on_throttled(true));
   EXPECT_EQ(by_rate.write_rps(), kAnnouncedLimits.write_rps);
-  EXPECT_FALSE(by_rate.on_throttled_write()) << "the announced limits are already in force";
+  EXPECT_FALSE(by_rate.on_throttled(true)) << "the announced limits are already in force";
 
   kv::Limits unannounced(present);
   EXPECT_FALSE(unannounced.on_rejected_transaction({.writes = 100, .largest_value = 100'000}));
-  EXPECT_FALSE(unannounced.on_throttled_write());
+  EXPECT_FALSE(unannounced.on_throttled(true));
   EXPECT_EQ(unannounced.value_bytes(), present.value_bytes);
   EXPECT_EQ(unannounced.txn_ops(), present.txn_ops);
 }
@@ -63,6 +63,21 @@
   EXPECT_EQ(limits.txn_ops(), kAnnouncedLimits.txn_ops);
 }
 
+// Guards against a lowered rate of requests that a node without writes never recognises.
+TEST(Limits, AnnouncedLimitsApplyAfterThrottledReadOnlyIfTheyLowerTheRateOfRequests) {
+  const settings::StoreLimits present{200, 80, 16384, 16};
+  settings::StoreLimits announced = present;
+  announced.write_rps = 40;
+  kv::Limits fewer_writes(present, announced);
+  EXPECT_FALSE(fewer_writes.on_throttled(false));
+  EXPECT_EQ(fewer_writes.write_rps(), present.write_rps);
+  announced.rps = 100;
+  kv::Limits fewer_requests(present, announced);
+  EXPECT_TRUE(fewer_requests.on_throttled(false));
+  EXPECT_EQ(fewer_requests.rps(), announced.rps);
+  EXPECT_EQ(fewer_requests.write_rps(), announced.write_rps);
+}
+
 // Guards against values that the settings permit but that no transaction can contain.
 TEST(Limits, ValueLimitLeavesRoomForComparesInTransaction) {
   constexpr settings::StoreLimits large_values{200, 80, size_t{1} << 20, 16};
