Scale out: back off from an offer whose launch the cloud rejects

Change: LaunchOutcome::rejected; the offer is in backoff as after "no capacity". Launches.OfferWhoseLaunchCloudRejectsIsInBackoff failed before.

--- a/src/dunlinknot/autoscaler/scale_out.cpp
+++ b/src/dunlinknot/autoscaler/scale_out.cpp
@@ -155,6 +155,7 @@
       co_return;
     case LaunchOutcome::no_capacity:
     case LaunchOutcome::refused:
+    case LaunchOutcome::rejected:
       apply_refusal(launch, result.outcome);
       context_.schedule.notify();
       co_return;
@@ -198,8 +199,10 @@
     remove_launch(launch.request);
     if (roles_) roles_->intents.mark_scale_out_settled(launch.request);
   }
-  if (outcome != LaunchOutcome::no_capacity) return;
+  if (outcome == LaunchOutcome::refused) return;
+  // A request that is invalid now is invalid again if it is repeated at once.
   back_off(launch.offer, context_.loop.now());
+  if (outcome == LaunchOutcome::rejected) return;
   spdlog::info("scaling out: cloud has no capacity for {} {} in {}; backing off",
                kind(launch.offer), launch.offer.type, launch.offer.zone);
 }
--- a/src/dunlinknot/cloud/client.cpp
+++ b/src/dunlinknot/cloud/client.cpp
@@ -83,7 +83,7 @@
   if (reply.status != kStatusOk) {
     spdlog::error("cloud: launch {} rejected with HTTP status {}; treating it as not executed",
                   request.name, reply.status);
-    result.outcome = LaunchOutcome::refused;
+    result.outcome = LaunchOutcome::rejected;
     co_return result;
   }
   auto machines = wire::read_launched(reply.body);
--- a/src/dunlinknot/cloud/client.hpp
+++ b/src/dunlinknot/cloud/client.hpp
@@ -28,7 +28,8 @@
 enum class LaunchOutcome : uint8_t {
   launched,     // `machines` were launched, possibly fewer than requested
   no_capacity,  // certainly not executed: the cloud has no capacity of that kind
-  refused,      // certainly not executed: throttled, or an invalid request
+  refused,      // certainly not executed: throttled
+  rejected,     // certainly not executed: the cloud considers the request invalid
   unknown,      // may have been or may still be executed, or the cloud failed
 };
 
--- a/tests/scenario_machines_test.cpp
+++ b/tests/scenario_machines_test.cpp
@@ -246,5 +246,29 @@
   expect_no_violations(site);
 }
 
+// Guards against a launch that is repeated in every scheduling cycle although the cloud rejects it
+// as invalid: it used up the request rate of the cloud.
+TEST(Launches, OfferWhoseLaunchCloudRejectsIsInBackoff) {
+  Site site(1);
+  site.run_for(seconds(2));
+  size_t rejected = 0;
+  site.cloud.call_fault = [&](const http::Call& call) {
+    const bool is_launch = call.target == "/rentals" && call.method == "POST" &&
+                           call.body.find("box") != std::string::npos;
+    if (!is_launch) return CallFault::none;
+    ++rejected;
+    return CallFault::reject;
+  };
+  JobSpec spec = job("run-000001");
+  spec.types = {"box"};
+  spec.zone = "a";
+  ASSERT_EQ(site.submit(spec).status, 201);
+  site.run_for(seconds(12));
+  EXPECT_EQ(rejected, 1u) << "the first backoff takes 15 s";
+  site.cloud.call_fault = nullptr;
+  site.run_for(seconds(30));
+  EXPECT_EQ(site.job_state(spec.id), "done");
+}
+
 }  // namespace
 }  // namespace dunlinknot::test
