Elector: watch the key `leader` from a revision that the store still has

Cause: the watch started at the mod revision of `leader`, which is as old as the election, because renewing the lease does not change the key. The store keeps 10,000 changes, answered 410, and the elector read the key and watched from the same revision again, without a pause. Its calls are essential, so the budget refused none of them, and none was left for users.

Fix: the watch starts at the revision of a listing made before the key is read, so it misses no change and is as recent as the read, however old the key is. Changes that the read included are skipped. After a 410 the elector pauses like after any other failure.

--- a/src/dunlinknot/leadership/elector.cpp
+++ b/src/dunlinknot/leadership/elector.cpp
@@ -151,7 +151,19 @@
 }
 
 // Reads the key. Returns false, after a delay, when the store did not answer.
+//
+// The following watch starts at the store's revision before the read, so that it reports every
+// change that the read may have missed. The key's own mod revision would not do: it can be older
+// than the changes that the store keeps, because renewing the lease does not change the key. Only a
+// listing returns the revision together with a key that exists.
 Task<bool> Elector::read_leader() {
+  const kv::ListResult listing =
+      co_await store_.list(std::string(wire::kLeaderKey), "", kCallTimeout);
+  if (listing.outcome != Outcome::ok) {
+    co_await loop_.sleep(kRetryDelay);
+    co_return false;
+  }
+  // A listing does not contain the lease that a key is bound to.
   const kv::GetResult got = co_await get_essential(wire::kLeaderKey);
   if (got.outcome != Outcome::ok) {
     co_await loop_.sleep(kRetryDelay);
@@ -159,10 +171,9 @@
   }
   leader_mod_revision_.reset();
   leader_is_previous_process_ = false;
-  watched_revision_ = got.revision;
+  watched_revision_ = listing.revision;
   if (!got.found) co_return true;
   leader_mod_revision_ = got.item.mod_revision;
-  watched_revision_ = got.item.mod_revision;
   if (const auto record = wire::read_leader(got.item.value)) {
     observe_epoch(record->epoch, record->node, "the key-value store");
     leader_is_previous_process_ = record->node == platform_.node && got.item.lease != lease_;
@@ -170,23 +181,24 @@
   co_return true;
 }
 
-// Waits for a change of the key, at most until this node may campaign. Returns false when the key
-// has to be read again.
+// Waits for a change of the key, at most until this node may campaign. Returns false, after a
+// delay, when the key has to be read again.
 Task<bool> Elector::watch_leader() {
   const Millis block = vacant() ? std::clamp(to_millis(no_campaign_before_ - loop_.now()),
                                              kMinWatchBlock, kMaxWatchBlock)
                                 : kMaxWatchBlock;
   const kv::WatchResult watch =
       co_await store_.watch(std::string(wire::kLeaderKey), watched_revision_, block);
-  if (watch.outcome != Outcome::ok) {
+  if (watch.outcome != Outcome::ok || watch.relist_required) {
     co_await loop_.sleep(kRetryDelay);
     co_return false;
   }
-  if (watch.relist_required) co_return false;
   watched_revision_ = std::max(watched_revision_, watch.revision);
   for (const kv::Change& change : watch.changes) {
-    // The watch matches a prefix, so other keys may be reported too.
-    if (change.key == wire::kLeaderKey) apply_leader_change(change);
+    // The watch matches a prefix, so other keys may be reported too. It may also report changes
+    // that read_leader() has already seen.
+    const bool seen = change.mod_revision <= leader_mod_revision_.value_or(0);
+    if (change.key == wire::kLeaderKey && !seen) apply_leader_change(change);
   }
   co_return true;
 }
--- a/tests/scenario_leadership_test.cpp
+++ b/tests/scenario_leadership_test.cpp
@@ -253,5 +253,27 @@
   expect_no_violations(site);
 }
 
+// Guards against a restarted controller that answers no user, because it repeats a watch of changes
+// that the store no longer has.
+TEST(Leadership, FollowerRestartedManyChangesAfterElectionAnswersUsers) {
+  constexpr size_t kForgottenChanges = 10'001;
+  Site site(3);
+  site.run_for(seconds(2));
+  ASSERT_TRUE(site.leader());
+  const size_t follower = (*site.leader() + 1) % site.nodes.size();
+  ASSERT_EQ(site.submit(job("run-000001")).status, 201);
+  for (size_t i = 0; i < kForgottenChanges; ++i) site.store.put("other/key", wire::write_epoch(i));
+  site.run_for(seconds(2));
+  const size_t expired_watches = site.store.expired_watches;  // those that were open meanwhile
+  site.restart(follower);
+  site.run_for(seconds(20));
+  for (int poll = 0; poll < 10; ++poll) {
+    EXPECT_NE(site.job_state("run-000001", follower), "503");
+    site.run_for(seconds(1));
+  }
+  EXPECT_EQ(site.store.expired_watches, expired_watches);
+  EXPECT_EQ(site.store.throttled, 0u);
+}
+
 }  // namespace
 }  // namespace dunlinknot::test
