Elector: pause after a campaign that was refused

While the store answered reads but refused the transaction of a campaign (429, 503), or its unknown outcome was known at once, the elector repeated three reads, a new lease and the transaction at the speed of the store.

ElectorTest.PausesBetweenCampaignsWhoseTransactionIsRefused failed before.

--- a/src/dunlinknot/leadership/elector.cpp
+++ b/src/dunlinknot/leadership/elector.cpp
@@ -241,11 +241,11 @@
   const Instant sent = loop_.now();
   const kv::TransactionResult result =
       co_await store_.commit(std::move(txn), kCallTimeout, kv::Importance::essential);
-  if (result.applied) {
-    become_leader(epoch, result.revision, sent);
-  } else if (result.outcome == Outcome::unknown) {
-    co_await read_back_campaign(epoch);
-  }
+  if (result.applied) become_leader(epoch, result.revision, sent);
+  // Without `applied`, a compare failed: another node changed a key, which is read again at once.
+  if (result.outcome == Outcome::ok) co_return;
+  if (result.outcome == Outcome::unknown) co_await read_back_campaign(epoch);
+  if (!leading_) co_await loop_.sleep(kRetryDelay);
 }
 
 // Reads the key back after a campaign whose outcome is unknown. No other attempt may be made before
--- a/tests/elector_test.cpp
+++ b/tests/elector_test.cpp
@@ -91,5 +91,20 @@
   EXPECT_TRUE(elector.leading());
 }
 
+// Guards against campaigns in a busy loop, each with a new lease, while the store refuses writes.
+TEST_F(ElectorTest, PausesBetweenCampaignsWhoseTransactionIsRefused) {
+  store.call_fault = [](const http::Call& call) {
+    return is_transaction_on(call, wire::kLeaderKey) ? CallFault::refuse : CallFault::none;
+  };
+  start_elector();
+  constexpr auto kRefused = seconds(10);
+  simulation.run_for(kRefused);
+  constexpr size_t kMaxRequestsPerSecond = 40;
+  EXPECT_LT(store.requests, kMaxRequestsPerSecond * kRefused.count());
+  store.call_fault = nullptr;
+  simulation.run_for(seconds(1));
+  EXPECT_TRUE(elector.leading());
+}
+
 }  // namespace
 }  // namespace dunlinknot::test
