--- a/src/dunlinknot/cluster/allocation_store/job_watcher.cpp
+++ b/src/dunlinknot/cluster/allocation_store/job_watcher.cpp
@@ -49,6 +49,9 @@
       continue;
     }
     if (watch.relist_required) {
+      // The pause keeps the loop within the request rate if the next watch is answered the same.
+      co_await context.loop.sleep(StoreAccess::kRetryDelay);
+      if (!context.in_term(term)) co_return;
       const bool relisted = co_await relist(term);
       if (!relisted) co_return;
       continue;
--- a/tests/scenario_leadership_test.cpp
+++ b/tests/scenario_leadership_test.cpp
@@ -253,6 +253,23 @@
   expect_no_violations(site);
 }
 
+// Guards against listings of all jobs in a busy loop while the store keeps too few changes for any
+// watch.
+TEST(Leadership, LeaderWhoseWatchesAreAllTooOldListsJobsWithPauses) {
+  Site site(1);
+  site.run_for(seconds(2));
+  ASSERT_TRUE(site.leader());
+  site.store.watches_too_old = true;
+  const uint64_t requests = site.store.requests;
+  constexpr auto kWatched = seconds(10);
+  site.run_for(kWatched);
+  constexpr uint64_t kMaxRequestsPerSecond = 30;
+  EXPECT_LT(site.store.requests - requests, kMaxRequestsPerSecond * kWatched.count());
+  ASSERT_EQ(site.submit(job("run-000001")).status, 201);
+  site.run_for(seconds(30));
+  EXPECT_EQ(site.starts, 1u) << "the listings must report the new job";
+}
+
 // Guards against a restarted controller that answers no user, because it repeats a watch of changes
 // that the store no longer has.
 TEST(Leadership, FollowerRestartedManyChangesAfterElectionAnswersUsers) {
