Requests of users: pause before a call with an unknown outcome is repeated

They pause 100 ms now.

Api.RequestsDuringFailuresOfStoreAreRetriedWithPauses failed before. Api.EmptyCatalogIsReadAgainWithPauses shows that the catalog's loop is safe; it passed before.

--- a/src/dunlinknot/jobs/job_lookup.cpp
+++ b/src/dunlinknot/jobs/job_lookup.cpp
@@ -50,7 +50,10 @@
     const Nanos timeout = call_timeout(deadline - loop_.now());
     const kv::GetResult job_item = co_await store_.get(wire::job_key(id), timeout);
     if (job_item.outcome == Outcome::not_executed) co_return result;
-    if (job_item.outcome != Outcome::ok) continue;
+    if (job_item.outcome != Outcome::ok) {
+      co_await loop_.sleep(kRetryDelay);
+      continue;
+    }
     if (job_item.found) {
       result.kind = LookupResult::Kind::open;
       result.mod_revision = job_item.item.mod_revision;
@@ -61,7 +64,10 @@
     // other in one transaction, so reading them in this order cannot miss it.
     const kv::GetResult final = co_await store_.get(wire::final_key(id), timeout);
     if (final.outcome == Outcome::not_executed) co_return result;
-    if (final.outcome != Outcome::ok) continue;
+    if (final.outcome != Outcome::ok) {
+      co_await loop_.sleep(kRetryDelay);
+      continue;
+    }
     if (!final.found) {
       result.kind = LookupResult::Kind::not_found;
       co_return result;
--- a/src/dunlinknot/jobs/job_lookup.hpp
+++ b/src/dunlinknot/jobs/job_lookup.hpp
@@ -62,4 +62,8 @@
 // the request's deadline.
 Nanos call_timeout(Nanos time_left);
 
+// The pause before a call with an unknown outcome is made again. An unknown outcome may be known at
+// once, so without the pause the retries would use up the request budget.
+inline constexpr Millis kRetryDelay{100};
+
 }  // namespace dunlinknot::jobs
--- a/src/dunlinknot/jobs/request_handler.cpp
+++ b/src/dunlinknot/jobs/request_handler.cpp
@@ -118,8 +118,11 @@
     const kv::TransactionResult result =
         co_await store_.commit(std::move(transaction), timeout, kv::Importance::user);
     if (result.outcome == Outcome::not_executed) co_return unavailable();
-    if (result.outcome != Outcome::ok)
-      continue;  // safe to retry: if it was applied, the compares fail
+    if (result.outcome != Outcome::ok) {
+      // Safe to retry: if it was applied, the compares fail.
+      co_await loop_.sleep(kRetryDelay);
+      continue;
+    }
     if (result.applied) {
       ++accepted_count_;
       co_return accepted_response(id);
@@ -159,6 +162,7 @@
     if (result.outcome == Outcome::not_executed) break;
     if (result.outcome == Outcome::ok && result.applied)
       lookup_.record_final(id, {true, found.tasks}, result.revision);
+    if (result.outcome == Outcome::unknown) co_await loop_.sleep(kRetryDelay);
     // The transaction was applied, failed its compares or was not answered. In each case the next
     // lookup determines the response.
   }
--- a/tests/scenario_api_test.cpp
+++ b/tests/scenario_api_test.cpp
@@ -274,5 +274,44 @@
   expect_no_violations(site);
 }
 
+// Guards against lookups and submissions in a busy loop while the store fails at once: they used up
+// the request budget of all users.
+TEST(Api, RequestsDuringFailuresOfStoreAreRetriedWithPauses) {
+  Site site(1);
+  site.run_for(seconds(2));
+  ASSERT_EQ(site.submit(job("run-000001")).status, 201);
+  site.store.call_fault = [](const http::Call& call) {
+    const bool of_user =
+        call.target == "/keys/job/run-000001" || is_transaction_on(call, "final/run-000002");
+    return of_user ? CallFault::fail : CallFault::none;
+  };
+  constexpr uint64_t kMaxRequests = 100;  // of the user and of the controller itself
+  uint64_t requests = site.store.requests;
+  EXPECT_EQ(site.job_state("run-000001"), "503");
+  EXPECT_LT(site.store.requests - requests, kMaxRequests);
+  requests = site.store.requests;
+  EXPECT_EQ(site.submit(job("run-000002")).status, 503);
+  EXPECT_LT(site.store.requests - requests, kMaxRequests);
+  site.store.call_fault = nullptr;
+  EXPECT_EQ(site.submit(job("run-000002")).status, 201);
+}
+
+// Guards against a busy loop of a controller that reads an empty catalog.
+TEST(Api, EmptyCatalogIsReadAgainWithPauses) {
+  Site site(1);
+  const std::vector<MachineType> types = std::exchange(site.cloud.types, {});
+  site.store.put(std::string(wire::kCatalogKey), wire::write_catalog({}));
+  site.restart(0);
+  const uint64_t requests = site.store.requests;
+  constexpr auto kEmpty = seconds(10);
+  site.run_for(kEmpty);
+  constexpr uint64_t kMaxRequestsPerSecond = 20;
+  EXPECT_LT(site.store.requests - requests, kMaxRequestsPerSecond * kEmpty.count());
+  EXPECT_EQ(site.request_and_wait(0, "GET", "/ready").status, 503);
+  site.store.put(std::string(wire::kCatalogKey), wire::write_catalog(types));
+  site.run_for(seconds(2));
+  EXPECT_EQ(site.request_and_wait(0, "GET", "/ready").status, 200);
+}
+
 }  // namespace
 }  // namespace dunlinknot::test
