Budget: limit the debt of essential calls, and show it at /ready

The debt of the budget grew without bound, so users would have been refused for as long again after the calls had ended. And the node said that it was ready all the time, so the load balancer kept sending users to it.

Change: the debt is at most the tokens of one second, after which the store has forgotten the calls, too. GET /ready answers 503 once essential calls alone have left no budget for 1.5 s, if a peer reaches the store.

--- a/src/dunlinknot/kv/client.cpp
+++ b/src/dunlinknot/kv/client.cpp
@@ -105,10 +105,25 @@
   return requests_.level(now) >= kMinRequestsForUsers && user_writes_.level(now) >= writes;
 }
 
+void Client::update_overdraft(Instant now) {
+  if (requests_.level(now) >= 0) {
+    overdrawn_since_.reset();
+  } else if (!overdrawn_since_) {
+    overdrawn_since_ = now;
+  }
+}
+
+Nanos Client::overdrawn_for() {
+  const Instant now = loop_.now();
+  update_overdraft(now);
+  return overdrawn_since_ ? now - *overdrawn_since_ : Nanos(0);
+}
+
 // Takes a request and its writes from the budget. Returns false when the budget does not allow
 // them.
 bool Client::reserve_budget(Instant now, double writes, Importance importance) {
   const bool is_user_request = importance == Importance::user;
+  update_overdraft(now);
   if (importance != Importance::essential) {
     const double available = is_user_request ? user_writes_.level(now) : writes_.level(now);
     if (requests_.level(now) < 1) return false;
@@ -117,6 +132,7 @@
   ++counts_.sent;
   if (requests_.level(now) < 1) ++counts_.over_budget;
   requests_.take_unconditionally(now);
+  update_overdraft(now);
   if (writes > 0) writes_.take_unconditionally(now, writes);
   if (is_user_request) user_writes_.take_unconditionally(now, writes);
   return true;
--- a/src/dunlinknot/kv/client.hpp
+++ b/src/dunlinknot/kv/client.hpp
@@ -2,6 +2,7 @@
 // service's limits. A call's outcome distinguishes a request that was certainly not executed from
 // one that may have been executed, or may still be.
 #pragma once
+#include <optional>
 #include <string>
 
 #include "dunlinknot/kv/limits.hpp"
@@ -47,6 +48,9 @@
   Instant last_response_at() const { return last_response_at_; }
   Instant last_answered_request_at() const { return last_answered_request_at_; }
   const CallCounts& counts() const { return counts_; }
+  // For how long essential calls alone have used up the whole budget, so that every other call was
+  // refused. Zero while the budget has any room: calls that are not essential never overdraw it.
+  Nanos overdrawn_for();
   // Calls per second that the budget allows.
   double request_budget() const { return limits_.rps() * rate_share_; }
 
@@ -75,6 +79,7 @@
   };
   Task<http::Reply> call(Request request);
   bool reserve_budget(Instant now, double writes, Importance importance);
+  void update_overdraft(Instant now);
   bool on_rejected_transaction(const Transaction& txn, std::string_view error);
   void on_throttled(bool has_writes);
   void adopt_limits();
@@ -91,6 +96,7 @@
   Instant last_response_at_{};
   Instant last_answered_request_at_{};
   CallCounts counts_;
+  std::optional<Instant> overdrawn_since_;  // set while the budget of requests is negative
 };
 
 }  // namespace dunlinknot::kv
--- a/src/dunlinknot/node/readiness.cpp
+++ b/src/dunlinknot/node/readiness.cpp
@@ -11,6 +11,8 @@
 constexpr auto kProbeAfter = Millis(700);     // then the store is probed
 constexpr auto kProbeTimeout = Millis(600);   // below the load balancer's timeout of 1 s
 constexpr auto kStoreTimeout = Millis(1500);  // then the store is considered unreachable
+// After this time without any request budget for users' requests, this node answers none of them.
+constexpr auto kOverdraftTimeout = Millis(1500);
 
 }  // namespace
 
@@ -26,7 +28,9 @@
     (void)co_await store_.get(std::string(wire::kLeaderKey), kProbeTimeout,
                               kv::Importance::essential);
   }
-  if (loop_.now() - store_.last_response_at() < kStoreTimeout) co_return true;
+  const bool reaches_store = loop_.now() - store_.last_response_at() < kStoreTimeout;
+  const bool has_budget = store_.overdrawn_for() < kOverdraftTimeout;
+  if (reaches_store && has_budget) co_return true;
   co_return !peers_.any_peer_reaches_store();
 }
 
--- a/src/dunlinknot/node/readiness.hpp
+++ b/src/dunlinknot/node/readiness.hpp
@@ -15,10 +15,10 @@
             const jobs::RequestHandler& jobs);
 
   // Whether this node should receive requests. False until the machine types are known and the
-  // key-value store has answered this node once, and while the store answers a peer but not this
-  // node. Otherwise true, also while the store answers no node: another node would not do better,
-  // and a node that was removed from the load balancer takes a while to be added again. May suspend
-  // to probe the store.
+  // key-value store has answered this node once. False while the store answers a peer, but either
+  // not this node, or this node's own calls leave no request budget for users. Otherwise true, also
+  // while the store answers no node: another node would not do better, and a node that was removed
+  // from the load balancer takes a while to be added again. May suspend to probe the store.
   Task<bool> check();
 
  private:
--- a/src/dunlinknot/runtime/token_bucket.hpp
+++ b/src/dunlinknot/runtime/token_bucket.hpp
@@ -22,10 +22,11 @@
     return true;
   }
   // Takes the tokens even if the level becomes negative, for requests that must not be delayed
-  // (lease renewals).
+  // (lease renewals). The debt is limited to the tokens of one second: a service that allows bursts
+  // of one second has forgotten earlier requests by then.
   void take_unconditionally(Instant now, double tokens = 1) {
     refill(now);
-    level_ -= tokens;
+    level_ = std::max(level_ - tokens, -tokens_per_second_);
   }
   // Returns the time until take() will succeed, provided that no other caller takes tokens.
   Nanos time_until_available(Instant now, double tokens = 1) {
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -25,6 +25,20 @@
   }
 }
 
+// Guards against a debt that grows as long as calls are made, after which no other call was allowed
+// for as long again.
+TEST(TokenBucket, DebtIsRepaidWithinOneSecond) {
+  constexpr double kPerSecond = 10;
+  TokenBucket bucket(kPerSecond, kPerSecond);
+  Instant now{std::chrono::seconds(1)};
+  for (int i = 0; i < 1000; ++i) bucket.take_unconditionally(now);
+  EXPECT_EQ(bucket.level(now), -kPerSecond);
+  now += std::chrono::seconds(1);
+  EXPECT_FALSE(bucket.take(now));
+  now += Millis(101);
+  EXPECT_TRUE(bucket.take(now));
+}
+
 Task<void> accept_one(http::Listener& listener) {
   (void)co_await listener.accept();
 }
