--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -80,8 +80,8 @@
 
 // Guards against values that the settings permit but that no transaction can contain.
 TEST(Limits, ValueLimitLeavesRoomForComparesInTransaction) {
-  constexpr settings::StoreLimits large_values{200, 80, size_t{1} << 20, 16};
-  const kv::Limits limits(large_values);
+  constexpr settings::StoreLimits kLargeValues{200, 80, size_t{1} << 20, 16};
+  const kv::Limits limits(kLargeValues);
   kv::Transaction transaction;
   std::string key = "host/vm-";
   key.resize(200, '0');  // the longest key
