Event loop: fire timers with the same deadline in the order of their start

Cause: timers were kept in a set of deadline and address, so that timers with equal deadlines fired in the order of their addresses.

Change: timers are ordered by deadline and by the order in which they were armed.

TimersWithTheSameDeadlineFireInTheOrderOfTheirStart is new.

--- a/src/dunlinknot/runtime/event_loop.cpp
+++ b/src/dunlinknot/runtime/event_loop.cpp
@@ -72,13 +72,14 @@
 void EventLoop::arm(Waiter& waiter) {
   if (waiter.deadline != Instant::max()) {
     waiter.timed = true;
-    timers_.emplace(waiter.deadline, &waiter);
+    waiter.timer_sequence = next_timer_sequence_++;
+    timers_.emplace(std::pair(waiter.deadline, waiter.timer_sequence), &waiter);
   }
 }
 
 void EventLoop::disarm(Waiter& waiter) {
   if (waiter.timed) {
-    timers_.erase({waiter.deadline, &waiter});
+    timers_.erase({waiter.deadline, waiter.timer_sequence});
     waiter.timed = false;
   }
 }
@@ -133,12 +134,13 @@
 }
 
 Instant EventLoop::next_timer() const {
-  return timers_.empty() ? Instant::max() : timers_.begin()->first;
+  return timers_.empty() ? Instant::max() : timers_.begin()->first.first;
 }
 
 void EventLoop::fire_expired_timers() {
   const Instant time = now();
-  while (!timers_.empty() && timers_.begin()->first <= time) wake(*timers_.begin()->second, true);
+  while (!timers_.empty() && timers_.begin()->first.first <= time)
+    wake(*timers_.begin()->second, true);
 }
 
 void EventLoop::poll_io() {
--- a/src/dunlinknot/runtime/event_loop.hpp
+++ b/src/dunlinknot/runtime/event_loop.hpp
@@ -24,8 +24,9 @@
     std::coroutine_handle<> handle;
     Instant deadline = Instant::max();
     bool timed_out = false;
-    bool timed = false;       // registered as a timer
-    Waiter** slot = nullptr;  // pointer that refers to this waiter; set to null on resume
+    bool timed = false;           // registered as a timer
+    Waiter** slot = nullptr;      // pointer that refers to this waiter; set to null on resume
+    uint64_t timer_sequence = 0;  // orders timers with the same deadline; set by arm()
   };
 
   // The clock must outlive the loop. Throws std::runtime_error if epoll cannot be set up.
@@ -108,7 +109,10 @@
   bool destroying_ = false;
   std::set<void*> spawned_;
   std::deque<std::coroutine_handle<>> ready_;
-  std::set<std::pair<Instant, Waiter*>> timers_;  // earliest first
+  // Earliest first; timers with the same deadline in the order in which they were armed, so that a
+  // simulated run can be repeated.
+  std::map<std::pair<Instant, uint64_t>, Waiter*> timers_;
+  uint64_t next_timer_sequence_ = 0;
   std::deque<FdSlots> fds_;  // indexed by file descriptor; a deque, because waiters point into it
 };
 
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -4,6 +4,7 @@
 
 #include "dunlinknot/http/socket.hpp"
 #include "dunlinknot/runtime/token_bucket.hpp"
+#include "fake_clock.hpp"
 
 namespace dunlinknot {
 namespace {
@@ -39,6 +40,24 @@
   EXPECT_TRUE(bucket.take(now));
 }
 
+Task<void> append_after(EventLoop& loop, Nanos delay, int number, std::vector<int>& order) {
+  co_await loop.sleep(delay);
+  order.push_back(number);
+}
+
+// Guards against simulated runs that differ because equal deadlines were ordered by address.
+TEST(EventLoop, TimersWithTheSameDeadlineFireInTheOrderOfTheirStart) {
+  test::Simulation simulation;
+  std::vector<int> order;
+  std::vector<int> expected;
+  for (int number = 0; number < 200; ++number) {
+    simulation.loop.spawn(append_after(simulation.loop, std::chrono::seconds(1), number, order));
+    expected.push_back(number);
+  }
+  simulation.run_for(std::chrono::seconds(1));
+  EXPECT_EQ(order, expected);
+}
+
 Task<void> accept_one(http::Listener& listener) {
   (void)co_await listener.accept();
 }
