Scheduler: wait causes that name what keeps a job off machines with room

Change: three wait causes, for jobs that have waited for 60 s: machines on which the job failed, room that is reserved for other jobs, quota that is reserved for a gang. Decisions are unchanged.

--- a/src/dunlinknot/node/leader_loop.cpp
+++ b/src/dunlinknot/node/leader_loop.cpp
@@ -21,8 +21,6 @@
 // Time without a heartbeat after which the workers are considered unable to reach this node.
 constexpr auto kHeartbeatTimeout = std::chrono::seconds(5);
 constexpr auto kWaitingLogInterval = std::chrono::seconds(10);
-// Shorter waits are not logged: they are normal while machines are being launched.
-constexpr Seconds kMinLoggedWait{60};
 
 }  // namespace
 
@@ -104,7 +102,8 @@
   autoscaler_.scan(plan.machines_to_keep, plan.waiting_tasks, now);
 }
 
-// Periodically logs, at `debug`, why jobs with a long wait have not started.
+// Periodically logs, at `debug`, why jobs with a long wait have not started. Shorter waits are
+// normal while machines are being launched.
 void LeaderLoop::log_waiting(const scheduler::Plan& plan, Instant now) {
   if (!spdlog::should_log(spdlog::level::debug) || now < next_waiting_log_) return;
   next_waiting_log_ = now + kWaitingLogInterval;
@@ -113,7 +112,7 @@
       const Job* job = leader.cluster.job(id);
       if (!job) continue;
       const std::chrono::duration<double> waited = context_.loop.wall() - job->submitted();
-      if (waited < kMinLoggedWait) continue;
+      if (waited < scheduler::kLongWait) continue;
       spdlog::debug("job {} of class {} has been pending for {:.0f} s and waits for {}", id,
                     job->spec().job_class, waited.count(), scheduler::text(cause));
     }
--- a/src/dunlinknot/scheduler/arrays.cpp
+++ b/src/dunlinknot/scheduler/arrays.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "dunlinknot/scheduler/array_placement.hpp"
+#include "dunlinknot/scheduler/wait_obstacles.hpp"
 
 namespace dunlinknot::scheduler {
 
@@ -29,13 +30,14 @@
   JobNominations nominations(state_, job);
   PlacementConstraints constraints = state_.cluster().constraints_of(job);
   uint32_t placed = 0;
-  WaitCause cause = WaitCause::team_limit;
+  WaitCause cause =
+      state_.quota_is_reserved(job) ? WaitCause::quota_reserved : WaitCause::team_limit;
   if (to_place > 0) {
     placed = nominations.place(to_place, constraints);
     placed += place_array(state_, job, to_place - placed, constraints);
     cause = request_capacity(entry, to_place - placed, nominations, constraints);
   }
-  if (placed == 0) state_.add_waiting_job(job, cause);
+  if (placed == 0) state_.add_waiting_job(job, refined_cause(state_, job, cause));
   if (placed == job.pending() && placed < allowed) {
     // Place tasks that are queued on a busy machine elsewhere, if they can start there sooner than
     // within the queue span.
--- a/src/dunlinknot/scheduler/cycle_state.cpp
+++ b/src/dunlinknot/scheduler/cycle_state.cpp
@@ -28,6 +28,11 @@
   plan.reserved_quota.resize(quotas.team_count());
 }
 
+bool CycleState::quota_is_reserved(const Job& job) const {
+  const Resources& reserved = plan.reserved_quota[static_cast<size_t>(job.team())];
+  return reserved.cpus > 0 || reserved.gpus > 0;
+}
+
 void CycleState::add_waiting_job(const Job& job, WaitCause cause) {
   if (job.live_count() > job.queued_tasks || job.done_count() > 0) return;
   plan.waiting_jobs.push_back(
--- a/src/dunlinknot/scheduler/cycle_state.hpp
+++ b/src/dunlinknot/scheduler/cycle_state.hpp
@@ -23,6 +23,8 @@
   CycleState& operator=(const CycleState&) = delete;
 
   const Cluster& cluster() const { return inputs.cluster; }
+  // Whether a part of the limit of the job's team is reserved for a gang of that team.
+  bool quota_is_reserved(const Job& job) const;
   // Adds the job to the plan's waiting jobs unless one of its tasks has started or ended.
   void add_waiting_job(const Job& job, WaitCause cause);
 
--- a/src/dunlinknot/scheduler/placement.cpp
+++ b/src/dunlinknot/scheduler/placement.cpp
@@ -90,10 +90,14 @@
            stranded_gpus(state.cluster(), spec, *type) > kMaxCheapStrandedGpus);
 }
 
+bool excluded_by_failures(const Job& job, const CandidateMachine& candidate) {
+  return candidate.machine && !job.failing && !job.failed_on.empty() &&
+         job.failed_on.contains(candidate.machine->id);
+}
+
 bool may_use(const CycleState& state, const Job& job, CandidateMachine& candidate) {
   if (!candidate.machine) return true;
-  if (!job.failing && !job.failed_on.empty() && job.failed_on.contains(candidate.machine->id))
-    return false;
+  if (excluded_by_failures(job, candidate)) return false;
   const Cluster& cluster = state.cluster();
   if (!candidate.record_room) {
     const size_t size = cluster.record_size(*candidate.machine);
--- a/src/dunlinknot/scheduler/placement.hpp
+++ b/src/dunlinknot/scheduler/placement.hpp
@@ -33,6 +33,8 @@
 bool may_borrow(const CycleState& state, const JobSpec& spec, const MachineType* type,
                 Borrowing borrowing);
 
+// Whether the job avoids this machine because its tasks failed there.
+bool excluded_by_failures(const Job& job, const CandidateMachine& candidate);
 // Whether the job may use this machine, given that it may use the pool: it has not failed there,
 // and the machine's record has room. Computes the room in the record on the first call per machine.
 bool may_use(const CycleState& state, const Job& job, CandidateMachine& candidate);
--- a/src/dunlinknot/scheduler/scheduler.cpp
+++ b/src/dunlinknot/scheduler/scheduler.cpp
@@ -19,6 +19,12 @@
       return "tasks to end on machines where room is reserved for it";
     case WaitCause::no_room:
       return "room on an allowed machine, as none can be launched";
+    case WaitCause::quota_reserved:
+      return "room under its team's limit that is reserved for a gang";
+    case WaitCause::failed_machines:
+      return "a machine on which its tasks have not failed; others have room";
+    case WaitCause::reserved_by_others:
+      return "room that is reserved for other jobs on machines where it is free";
   }
   return "";
 }
--- a/src/dunlinknot/scheduler/scheduler.hpp
+++ b/src/dunlinknot/scheduler/scheduler.hpp
@@ -84,16 +84,22 @@
 
 // What a job without started tasks waits for.
 enum class WaitCause : uint8_t {
-  team_limit,         // room under the team's limit
-  queued_on_machine,  // the end of a task on the machine where it is queued
-  machine_upcoming,   // a machine to boot or to be launched
-  preemption,         // the end of its victims
-  room_reserved,      // the end of tasks on machines where room is reserved for it
-  no_room,            // room on an allowed machine; none can be launched
+  team_limit,          // room under the team's limit
+  queued_on_machine,   // the end of a task on the machine where it is queued
+  machine_upcoming,    // a machine to boot or to be launched
+  preemption,          // the end of its victims
+  room_reserved,       // the end of tasks on machines where room is reserved for it
+  no_room,             // room on an allowed machine; none can be launched
+  quota_reserved,      // room under the team's limit, which is reserved for a gang of the team
+  failed_machines,     // another machine than those with room, on which its tasks have failed
+  reserved_by_others,  // room on machines whose free room is reserved for other jobs
 };
 // The cause as text for log lines.
 std::string_view text(WaitCause cause);
 
+// From this wait on, the cause distinguishes machines that have room but are excluded for the job.
+inline constexpr Seconds kLongWait{60};
+
 // A job without started tasks, and what it waits for.
 struct WaitingJob {
   std::string job;
--- a/src/dunlinknot/scheduler/scheduling_cycle.cpp
+++ b/src/dunlinknot/scheduler/scheduling_cycle.cpp
@@ -2,6 +2,7 @@
 #include "dunlinknot/scheduler/scheduling_cycle.hpp"
 
 #include "dunlinknot/scheduler/headroom.hpp"
+#include "dunlinknot/scheduler/wait_obstacles.hpp"
 
 namespace dunlinknot::scheduler {
 
@@ -29,7 +30,8 @@
   if (!job.spec().gang) {
     arrays_.schedule(entry);
   } else if (!job.any_live()) {
-    if (const auto cause = gangs_.schedule(entry)) state_.add_waiting_job(job, *cause);
+    const auto cause = gangs_.schedule(entry);
+    if (cause) state_.add_waiting_job(job, refined_cause(state_, job, *cause));
   }
 }
 
