Scheduler: end the exclusion of machines on which a job failed

Cause: Job::failed_on was never cleared, and excluded its machines until the job had failed on three.

Fix: FailureMemory. While it counts, the job prefers other machines, also those that have to be launched. So no machine is excluded without an end, and a job with a mistake still does not take all room again and again (safety 6).

--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -187,7 +187,7 @@
   Instant latest_possible_renewal(const Machine& machine) const;
 
   bool may_allocate(const Machine& machine, Job& job, uint32_t index);
-  Allocation* add_allocation(Machine& machine, const Job& job, Allocation allocation);
+  Allocation* add_allocation(Machine& machine, Job& job, Allocation allocation);
   void note_stored(Machine& machine, const wire::MachineRecord& as_written, uint64_t mod_revision);
   void allow_run(const Machine& machine, const Allocation& allocation);
   uint32_t count_durable(const std::string& job, uint64_t attempt) const;
--- a/src/dunlinknot/cluster/decisions.cpp
+++ b/src/dunlinknot/cluster/decisions.cpp
@@ -33,8 +33,9 @@
   return false;
 }
 
-Allocation* Cluster::add_allocation(Machine& machine, const Job& job, Allocation allocation) {
+Allocation* Cluster::add_allocation(Machine& machine, Job& job, Allocation allocation) {
   machine.note_image(job.spec().image, job.spec().image_gb);
+  job.failures.note_placement(machine.id, machine.works_since, allocation.placed_at);
   write_queue_.mark_dirty(machine, allocation.gang || allocation.service);
   return &allocations_.add(machine, std::move(allocation));
 }
--- a/src/dunlinknot/cluster/failure_detector.cpp
+++ b/src/dunlinknot/cluster/failure_detector.cpp
@@ -10,10 +10,9 @@
 
 namespace {
 
-constexpr size_t kMaxFailedMachinesPerJob = 32;  // machine ids stored per job; bounds memory
-constexpr uint32_t kSuspicionThreshold = 3;      // lost responses until a machine is unreachable
-constexpr size_t kMinUnreachableLimit = 2;       // lower bound of the limit, for small clusters
-constexpr size_t kUnreachableDivisor = 8;        // the limit is 1/8 of the machines with a lease
+constexpr uint32_t kSuspicionThreshold = 3;  // lost responses until a machine is unreachable
+constexpr size_t kMinUnreachableLimit = 2;   // lower bound of the limit, for small clusters
+constexpr size_t kUnreachableDivisor = 8;    // the limit is 1/8 of the machines with a lease
 
 }  // namespace
 
@@ -66,20 +65,25 @@
   machine.task_errors = {};
 }
 
+void FailureDetector::on_sound_start(Machine& machine, Instant started) {
+  machine.works_since = std::max(machine.works_since, started);
+}
+
 // Safety 6: a failure is attributed to the machine when other machines complete the task, and to
 // the job when it fails on all of them. The machine is drained, the job backs off.
 void FailureDetector::on_task_error(Machine& machine, Job* job, const JobTable& jobs,
                                     Instant now) const {
   ++machine.task_errors.consecutive;
   if (!job) return;
-  if (job->failed_on.size() < kMaxFailedMachinesPerJob) job->failed_on.insert(machine.id);
+  job->failures.record(machine.id, {to_nanos(op_.initial_backoff), to_nanos(op_.max_backoff)}, now);
   machine.task_errors.jobs.insert(job->spec().id);
   back_off_if_failing(*job, now);
   drain_if_faulty(machine, *job, jobs);
 }
 
 void FailureDetector::back_off_if_failing(Job& job, Instant now) const {
-  if (job.failed_on.size() < op_.failing_machines || job.done_count() > 0 || job.has_stable_replica)
+  if (job.failures.machine_count() < op_.failing_machines || job.done_count() > 0 ||
+      job.has_stable_replica)
     return;
   if (!job.failing)
     spdlog::info("job {} fails on every machine: delaying its next start", job.spec().id);
--- a/src/dunlinknot/cluster/failure_detector.hpp
+++ b/src/dunlinknot/cluster/failure_detector.hpp
@@ -39,6 +39,8 @@
   void on_task_error(Machine& machine, Job* job, const JobTable& jobs, Instant now) const;
   // A task completed on the machine, which shows that the machine works.
   static void on_task_completed(Machine& machine);
+  // A task that started at this time completed, or has run long enough not to fail at its start.
+  static void on_sound_start(Machine& machine, Instant started);
 
  private:
   void back_off_if_failing(Job& job, Instant now) const;
--- a/src/dunlinknot/cluster/heartbeat_reconciler.cpp
+++ b/src/dunlinknot/cluster/heartbeat_reconciler.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Seconds kStableRunTime{30};  // a replica that ran this long did not fail at its start
+constexpr Seconds kStableRunTime{30};  // a task that ran this long did not fail at its start
 constexpr Millis kRefusalPause{1000};  // before the next task of a refused job starts
 
 bool ran_for(const Allocation& allocation, Seconds min_duration, Instant now) {
@@ -143,8 +143,10 @@
     allocations_.stop(machine, *allocation, StopReason::cancelled, Seconds(0), now);
   const bool run_executed = allocation->phase == AllocationPhase::sent;
   allocation->phase = AllocationPhase::seen;
-  if (allocation->service && task.state == TaskState::running)
-    note_replica_running(machine, *allocation, job, now);
+  if (task.state == TaskState::running && ran_for(*allocation, kStableRunTime, now)) {
+    FailureDetector::on_sound_start(machine, allocation->running_since);
+    if (allocation->service) note_stable_replica(machine, *allocation, job);
+  }
   if (task.state != allocation->state)
     apply_state_change(machine, *allocation, job, task.state, now);
   return run_executed;
@@ -167,9 +169,9 @@
 
 // A replica that keeps running shows that its service works. Errors of its replicas are then
 // attributed to the machines.
-void HeartbeatReconciler::note_replica_running(const Machine& machine, const Allocation& allocation,
-                                               Job* job, Instant now) const {
-  if (!job || job->has_stable_replica || !ran_for(allocation, kStableRunTime, now)) return;
+void HeartbeatReconciler::note_stable_replica(const Machine& machine, const Allocation& allocation,
+                                              Job* job) {
+  if (!job || job->has_stable_replica) return;
   spdlog::debug("service {}: a replica on machine {} has been running without failing at its start",
                 allocation.task.job, machine.id);
   job->has_stable_replica = true;
@@ -239,6 +241,10 @@
   if (done) FailureDetector::on_task_completed(machine);
   Allocation* allocation = machine.find(task.task, task.attempt);
   if (!allocation) return effects;
+  // A task that was never reported running started at some time after it was placed.
+  if (done)
+    FailureDetector::on_sound_start(machine,
+                                    std::max(allocation->running_since, allocation->placed_at));
   if (error) failure_detector_.on_task_error(machine, job, allocations_.jobs(), now);
   const bool early = !ran_for(*allocation, kStableRunTime, now);
   if (task.cause == ExitCause::no_room || task.cause == ExitCause::already_present ||
--- a/src/dunlinknot/cluster/heartbeat_reconciler.hpp
+++ b/src/dunlinknot/cluster/heartbeat_reconciler.hpp
@@ -46,8 +46,7 @@
   bool apply_task(Machine& machine, const TaskStatus& task, Instant now, Effects& effects);
   void apply_state_change(const Machine& machine, Allocation& allocation, Job* job, TaskState state,
                           Instant now) const;
-  void note_replica_running(const Machine& machine, const Allocation& allocation, Job* job,
-                            Instant now) const;
+  static void note_stable_replica(const Machine& machine, const Allocation& allocation, Job* job);
   Allocation& allocate_orphan(Machine& machine, const TaskStatus& task, const Job* job, Instant now,
                               Effects& effects);
   bool may_adopt(const Machine& machine, const Job& job, uint32_t index) const;
--- a/src/dunlinknot/cluster/job.hpp
+++ b/src/dunlinknot/cluster/job.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dunlinknot/cluster/failure_memory.hpp"
 #include "dunlinknot/wire/messages.hpp"
 #include "dunlinknot/wire/records.hpp"
 
@@ -82,10 +83,10 @@
   uint64_t mod_revision;
 
   // --- Failures (FailureDetector, ReplicaBackoff)
-  std::set<std::string> failed_on;  // ids of machines on which its tasks failed; bounded
-  bool failing = false;             // fails on every machine: backs off and may not preempt
-  Nanos backoff{0};                 // the latest delay, if the job is failing
-  Instant not_before{};             // no task may start before this time
+  FailureMemory failures;  // the machines on which its tasks failed
+  bool failing = false;    // fails on every machine: backs off and may not preempt
+  Nanos backoff{0};        // the latest delay, if the job is failing
+  Instant not_before{};    // no task may start before this time
   // Whether a replica of the service ran long enough not to have failed at its start.
   bool has_stable_replica = false;
   // The job made progress, which shows that its tasks can succeed.
--- a/src/dunlinknot/cluster/machine.hpp
+++ b/src/dunlinknot/cluster/machine.hpp
@@ -87,6 +87,9 @@
   bool draining = false;  // gets no work and will be replaced
   std::string drain_reason;
   TaskErrors task_errors;
+  // The latest start of a task that then completed, or ran long enough not to have failed at its
+  // start. Failures before it do not count against the machine any more.
+  Instant works_since{};
 
   // --- resources and cached images
   std::vector<Allocation> allocations;
--- a/src/dunlinknot/scheduler/array_placement.cpp
+++ b/src/dunlinknot/scheduler/array_placement.cpp
@@ -21,6 +21,7 @@
     // the gang's fetch.
     if (candidate->gang_fetching && !candidate->machine->has_image(spec.image)) continue;
     uint32_t max_here = std::min(max_tasks - placed, constraints.tasks_allowed(candidate->zone()));
+    if (is_last_resort(state, job, *candidate)) max_here = std::min(max_here, 1u);
     if (spec.service) {
       const uint32_t replicas_there = tasks_on(job, *candidate->machine);
       max_here =
--- a/src/dunlinknot/scheduler/arrays.cpp
+++ b/src/dunlinknot/scheduler/arrays.cpp
@@ -35,7 +35,10 @@
   if (to_place > 0) {
     placed = nominations.place(to_place, constraints);
     placed += place_array(state_, job, to_place - placed, constraints);
-    cause = request_capacity(entry, to_place - placed, nominations, constraints);
+    const CapacityResult capacity =
+        request_capacity(entry, to_place - placed, nominations, constraints);
+    placed += capacity.retried;
+    cause = capacity.cause;
   }
   if (placed == 0) state_.add_waiting_job(job, refined_cause(state_, job, cause));
   if (placed == job.pending() && placed < allowed) {
@@ -48,9 +51,9 @@
   }
 }
 
-WaitCause ArrayScheduling::request_capacity(const QueueEntry& entry, uint32_t unplaced,
-                                            JobNominations& nominations,
-                                            PlacementConstraints& constraints) {
+ArrayScheduling::CapacityResult ArrayScheduling::request_capacity(
+    const QueueEntry& entry, uint32_t unplaced, JobNominations& nominations,
+    PlacementConstraints& constraints) {
   nominations.keep_at_most(unplaced);
   nominations.add_to(constraints);
   // Tasks with a nomination wait for its room. The others use upcoming machines first, then request
@@ -63,8 +66,15 @@
   WaitCause cause =
       tasks_left < without_nomination ? WaitCause::machine_upcoming : WaitCause::no_room;
   if (!nominations.active().empty()) cause = WaitCause::preemption;
-  preemption_.preempt(entry, nominations, tasks_left, constraints);
-  return cause;
+  const uint32_t retried = retry_on_failed_machines(*entry.job, tasks_left, constraints);
+  preemption_.preempt(entry, nominations, tasks_left - retried, constraints);
+  return {cause, retried};
+}
+
+uint32_t ArrayScheduling::retry_on_failed_machines(const Job& job, uint32_t max_tasks,
+                                                   PlacementConstraints& constraints) {
+  if (max_tasks == 0 || !state_.allow_retry(job)) return 0;
+  return place_array(state_, job, max_tasks, constraints);
 }
 
 // The spread over zones is not checked here: replicas that leave a zone make room for others of the
--- a/src/dunlinknot/scheduler/arrays.hpp
+++ b/src/dunlinknot/scheduler/arrays.hpp
@@ -24,9 +24,17 @@
   void schedule(const QueueEntry& entry);
 
  private:
-  // Requests machines or preempts for `unplaced` tasks. Returns what the job waits for.
-  WaitCause request_capacity(const QueueEntry& entry, uint32_t unplaced,
-                             JobNominations& nominations, PlacementConstraints& constraints);
+  struct CapacityResult {
+    WaitCause cause;       // what the job waits for
+    uint32_t retried = 0;  // tasks placed on machines where tasks of the job had failed
+  };
+  // Requests machines, retries on failed machines or preempts for `unplaced` tasks.
+  CapacityResult request_capacity(const QueueEntry& entry, uint32_t unplaced,
+                                  JobNominations& nominations, PlacementConstraints& constraints);
+  // Places tasks for which no other machine has room or can be launched on machines where tasks of
+  // the job failed, if the delay after the failure is over. Returns the number placed.
+  uint32_t retry_on_failed_machines(const Job& job, uint32_t max_tasks,
+                                    PlacementConstraints& constraints);
   // Reserves or requests room for the replicas on interrupted machines before they move.
   void prepare_move(const QueueEntry& entry);
 
--- a/src/dunlinknot/scheduler/cycle_state.cpp
+++ b/src/dunlinknot/scheduler/cycle_state.cpp
@@ -28,6 +28,10 @@
   plan.reserved_quota.resize(quotas.team_count());
 }
 
+bool CycleState::allow_retry(const Job& job) {
+  return !job.failing && !job.failures.empty() && retrying_jobs_.insert(&job).second;
+}
+
 bool CycleState::quota_is_reserved(const Job& job) const {
   const Resources& reserved = plan.reserved_quota[static_cast<size_t>(job.team())];
   return reserved.cpus > 0 || reserved.gpus > 0;
--- a/src/dunlinknot/scheduler/cycle_state.hpp
+++ b/src/dunlinknot/scheduler/cycle_state.hpp
@@ -23,6 +23,11 @@
   CycleState& operator=(const CycleState&) = delete;
 
   const Cluster& cluster() const { return inputs.cluster; }
+  // Lets the job use, in the rest of the cycle, machines on which its tasks failed and that it may
+  // try again. To be called once no other machine has room or can be launched for it. Returns false
+  // if that changes nothing.
+  bool allow_retry(const Job& job);
+  bool may_retry(const Job& job) const { return retrying_jobs_.contains(&job); }
   // Whether a part of the limit of the job's team is reserved for a gang of that team.
   bool quota_is_reserved(const Job& job) const;
   // Adds the job to the plan's waiting jobs unless one of its tasks has started or ended.
@@ -34,6 +39,9 @@
   const std::set<std::string> guaranteed_jobs;  // see jobs_within_guarantee
   const bool accelerators_wanted;  // a task that needs accelerators waits for a machine
   Plan plan;
+
+ private:
+  std::set<const Job*> retrying_jobs_;
 };
 
 }  // namespace dunlinknot::scheduler
--- a/src/dunlinknot/scheduler/gangs.cpp
+++ b/src/dunlinknot/scheduler/gangs.cpp
@@ -73,6 +73,14 @@
     state_.plan.reserved_quota[static_cast<size_t>(job.team())] += spec.need * spec.tasks;
     return WaitCause::team_limit;
   }
+  auto cause = schedule_within_limit(entry);
+  if (cause == WaitCause::no_room && state_.allow_retry(job)) cause = schedule_within_limit(entry);
+  return cause;
+}
+
+std::optional<WaitCause> GangScheduling::schedule_within_limit(const QueueEntry& entry) {
+  const Job& job = *entry.job;
+  const JobSpec& spec = job.spec();
   // Machines with accelerators are borrowed last: a gang's task there strands accelerators for as
   // long as it runs. While other tasks wait for them, the gang first waits a short time for room on
   // other machines, and it uses expensive accelerator machines only when there is no other room. It
--- a/src/dunlinknot/scheduler/gangs.hpp
+++ b/src/dunlinknot/scheduler/gangs.hpp
@@ -29,6 +29,8 @@
   bool placed_as_overdue(const Job& job) const { return placed_overdue_.contains(&job); }
 
  private:
+  // The same for a gang whose team's limit allows all of its tasks.
+  std::optional<WaitCause> schedule_within_limit(const QueueEntry& entry);
   // Returns whether room was reserved; false also when the gang was placed.
   bool place_or_reserve(const Job& job);
 
--- a/src/dunlinknot/scheduler/machine_queueing.cpp
+++ b/src/dunlinknot/scheduler/machine_queueing.cpp
@@ -87,7 +87,9 @@
         continue;
       const uint32_t before = queued_before(*candidate, position);
       // The queue is refilled when it is half empty, not task by task.
-      if (before * 2 > max_tasks || !may_use(state_, job, *candidate)) continue;
+      if (before * 2 > max_tasks || is_last_resort(state_, job, *candidate) ||
+          !may_use(state_, job, *candidate))
+        continue;
       const uint32_t queued = std::min(
           {tasks, max_tasks - before, tasks_allowed_by_record(state_.cluster(), job, *candidate)});
       candidate->queued_tasks += queued;
--- a/src/dunlinknot/scheduler/placement.cpp
+++ b/src/dunlinknot/scheduler/placement.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+using cluster::FailureAdvice;
+
 // The number of accelerators that one task may strand under Borrowing::cheap.
 constexpr double kMaxCheapStrandedGpus = 1;
 // Relative slowdown of a fetch for each other fetch in progress: they share the machine's rate.
@@ -57,6 +59,14 @@
   return cost;
 }
 
+// A job that fails on every machine avoids none: its delay keeps it from failing at a high rate.
+FailureAdvice failure_advice(const CycleState& state, const Job& job,
+                             const CandidateMachine& candidate) {
+  if (!candidate.machine || job.failing || job.failures.empty()) return FailureAdvice::usable;
+  return job.failures.advice(candidate.machine->id, candidate.machine->works_since,
+                             state.inputs.now);
+}
+
 // The room on the machine that the job may use after reservations, regardless of the holds of
 // nominations; empty: no restriction.
 std::optional<Resources> room_after_reservations(const Cluster& cluster, const JobSpec& spec,
@@ -90,14 +100,26 @@
            stranded_gpus(state.cluster(), spec, *type) > kMaxCheapStrandedGpus);
 }
 
-bool excluded_by_failures(const Job& job, const CandidateMachine& candidate) {
-  return candidate.machine && !job.failing && !job.failed_on.empty() &&
-         job.failed_on.contains(candidate.machine->id);
+bool excluded_by_failures(const CycleState& state, const Job& job,
+                          const CandidateMachine& candidate) {
+  switch (failure_advice(state, job, candidate)) {
+    case FailureAdvice::usable:
+      return false;
+    case FailureAdvice::last_resort:
+      return !state.may_retry(job);
+    case FailureAdvice::avoided:
+      return true;
+  }
+  return false;
+}
+
+bool is_last_resort(const CycleState& state, const Job& job, const CandidateMachine& candidate) {
+  return failure_advice(state, job, candidate) == FailureAdvice::last_resort;
 }
 
 bool may_use(const CycleState& state, const Job& job, CandidateMachine& candidate) {
   if (!candidate.machine) return true;
-  if (excluded_by_failures(job, candidate)) return false;
+  if (excluded_by_failures(state, job, candidate)) return false;
   const Cluster& cluster = state.cluster();
   if (!candidate.record_room) {
     const size_t size = cluster.record_size(*candidate.machine);
--- a/src/dunlinknot/scheduler/placement.hpp
+++ b/src/dunlinknot/scheduler/placement.hpp
@@ -33,9 +33,13 @@
 bool may_borrow(const CycleState& state, const JobSpec& spec, const MachineType* type,
                 Borrowing borrowing);
 
-// Whether the job avoids this machine because its tasks failed there.
-bool excluded_by_failures(const Job& job, const CandidateMachine& candidate);
-// Whether the job may use this machine, given that it may use the pool: it has not failed there,
+// Whether the job avoids this machine in this cycle because its tasks failed there.
+bool excluded_by_failures(const CycleState& state, const Job& job,
+                          const CandidateMachine& candidate);
+// Whether the job may use this machine only as a last resort, one task at a time, because its tasks
+// failed there.
+bool is_last_resort(const CycleState& state, const Job& job, const CandidateMachine& candidate);
+// Whether the job may use this machine, given that it may use the pool: it does not avoid it,
 // and the machine's record has room. Computes the room in the record on the first call per machine.
 bool may_use(const CycleState& state, const Job& job, CandidateMachine& candidate);
 // The same for a machine of any pool; checks also whether the job may use the pool.
--- a/src/dunlinknot/scheduler/preemption.cpp
+++ b/src/dunlinknot/scheduler/preemption.cpp
@@ -116,6 +116,8 @@
     if (candidate.upcoming || !spec.need.fits_in(candidate.machine->size)) continue;
     if (preempted_on_.contains(candidate.machine->id) || !may_place(state_, job, candidate))
       continue;
+    // Nothing is stopped on a machine on which the job will probably fail again.
+    if (is_last_resort(state_, job, candidate)) continue;
     if (constraints.tasks_allowed(candidate.zone()) == 0) continue;
     auto victims =
         preemption::simulate(candidate.capacity, state_.inputs.nominations, state_.cluster(),
--- a/src/dunlinknot/scheduler/wait_obstacles.cpp
+++ b/src/dunlinknot/scheduler/wait_obstacles.cpp
@@ -11,7 +11,7 @@
 // or if the room is held by nominations or the machine's record is full.
 std::optional<WaitCause> obstacle_on(const CycleState& state, const Job& job,
                                      CandidateMachine& candidate) {
-  if (excluded_by_failures(job, candidate)) return WaitCause::failed_machines;
+  if (excluded_by_failures(state, job, candidate)) return WaitCause::failed_machines;
   if (!may_use(state, job, candidate)) return std::nullopt;
   const JobSpec& spec = job.spec();
   const bool room_unless_reserved = candidate.capacity.count(spec.need, spec.priority, 1) > 0;
