Scheduler: end the reserve for accelerators, and launch only where jobs are placed

Cause: for each free accelerator, tasks without accelerators left what such tasks had needed, whether or not any is expected, and also for accelerators that cannot be used at the same time. Launches did not know of this.

Fix: the reserve stands while a task that needs accelerators waits or was submitted in the last four minutes, for the accelerators that can still be used. A job that would fit on no allowed type beside it is exempt. A job of which nothing was placed for 60 s, while its team's limit allowed it, begins with a few tasks in room that is kept for jobs that are only expected, the reserve and headroom; room for a waiting gang stands. A task queued on a busy machine is moved then, too, and is no longer queued behind replicas, which do not end.

--- a/src/dunlinknot/cluster/allocation_table.cpp
+++ b/src/dunlinknot/cluster/allocation_table.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "dunlinknot/cluster/accelerator_reserve.hpp"
 #include "dunlinknot/cluster/find.hpp"
 #include "dunlinknot/wire/records.hpp"
 
@@ -120,6 +121,7 @@
   open_job->remove_allocation(ended.task.index);
   if (open_job->is_done(ended.task.index)) return effects;
   open_job->waiting_since = now;
+  open_job->held_back_since = now;
   if (ended.gang && gang == GangEffect::breaks)
     break_gang(ended.task.job, ended.attempt, now, effects);
   return effects;
@@ -218,7 +220,8 @@
 // Resources that a task frees are used immediately by a task that is queued on the machine. Its
 // allocation is already durable, so its `run` is sent in the response to the same heartbeat that
 // reported the free resources.
-void AllocationTable::start_queued(Machine& machine, const Resources& spare_per_gpu, Instant now) {
+void AllocationTable::start_queued(Machine& machine, const Resources& reserved_per_gpu,
+                                   Instant now) {
   if (machine.queued_tasks == 0) return;
   std::vector<Allocation*> waiting;
   for (Allocation& allocation : machine.allocations) {
@@ -233,8 +236,8 @@
     if (!open_job || open_job->is_done(allocation->task.index) || now < open_job->not_before)
       continue;
     Resources room = machine.free() - machine.reserved;
-    if (allocation->need.gpus <= 0 && machine.free().gpus > 0)
-      room -= spare_per_gpu * machine.free().gpus;
+    if (allocation->need.gpus <= 0)
+      room -= reserved_for_accelerators(machine.size, machine.free(), reserved_per_gpu);
     if (!allocation->need.fits_in(room)) continue;
     // Safety 4, team limits are counted over allocations: from here on the task counts towards its
     // team's limit.
@@ -243,6 +246,7 @@
     allocation->queued = false;
     --machine.queued_tasks;
     --open_job->queued_tasks;
+    open_job->held_back_since = now;
     machine.used += allocation->need;
   }
 }
--- a/src/dunlinknot/cluster/allocation_table.hpp
+++ b/src/dunlinknot/cluster/allocation_table.hpp
@@ -96,8 +96,8 @@
 
   // --- tasks queued on machines
   // Dequeues as many of the tasks queued on the machine as fit into its free resources.
-  // `spare_per_gpu`: what tasks without accelerators must leave free for each free accelerator.
-  void start_queued(Machine& machine, const Resources& spare_per_gpu, Instant now);
+  // `reserved_per_gpu`: what tasks without accelerators leave for each free accelerator.
+  void start_queued(Machine& machine, const Resources& reserved_per_gpu, Instant now);
   // Ends the allocation of one of the job's queued tasks, on the machine with the most queued
   // tasks. Returns false if the job has none.
   bool withdraw_queued(const std::string& job, Instant now);
--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -54,6 +54,7 @@
   obsolete_records_.clear();
   runnable_.clear();
   reserved_machines_.clear();
+  reserved_per_gpu_ = {};
 }
 
 uint64_t Cluster::next_attempt() {
--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -72,6 +72,8 @@
   const TeamUsage& usage(int team) const { return allocations_.usage().of(team); }
   // CPUs and memory needed per accelerator by recent jobs; zero before the first such job.
   const Resources& resources_per_gpu() const { return forecasts_.resources_per_gpu(); }
+  // Whether further jobs that need accelerators are expected.
+  bool accelerators_expected(WallTime now) const { return forecasts_.accelerators_expected(now); }
   // By job class.
   const std::map<std::string, DemandForecast>& forecasts() const { return forecasts_.by_class(); }
 
@@ -139,10 +141,10 @@
   // Ends the allocation of one of the job's queued tasks, so that it can be placed elsewhere.
   // Returns false if the job has none.
   bool withdraw_queued(const std::string& job, Instant now);
-  // Sets the resources that queued tasks must leave free on machines and within team limits;
-  // replaces the previous reservations.
+  // Sets the resources that queued tasks must leave free on machines, within team limits and, if
+  // they need no accelerators, for each free accelerator; replaces the previous reservations.
   void set_reserved(const std::map<std::string, Resources>& by_machine,
-                    std::vector<Resources> by_team);
+                    std::vector<Resources> by_team, const Resources& per_gpu = {});
   // See AllocationTable::stop.
   void stop(Machine& machine, Allocation& allocation, StopReason reason, Seconds grace,
             Instant now);
@@ -218,6 +220,7 @@
   std::vector<ObsoleteRecord> obsolete_records_;
   std::vector<std::string> runnable_;        // ids
   std::vector<Machine*> reserved_machines_;  // machines with reserved resources
+  Resources reserved_per_gpu_;               // see reserved_for_accelerators
   bool has_pending_work_ = false;
   uint64_t refused_allocations_ = 0;
 };
--- a/src/dunlinknot/cluster/decisions.cpp
+++ b/src/dunlinknot/cluster/decisions.cpp
@@ -43,6 +43,7 @@
 Allocation* Cluster::allocate(Machine& machine, Job& job, uint32_t index, uint64_t attempt,
                               Instant now) {
   if (!may_allocate(machine, job, index)) return nullptr;
+  job.held_back_since = now;
   return add_allocation(machine, job, planned_allocation(job, index, attempt, now));
 }
 
@@ -60,7 +61,7 @@
 }
 
 void Cluster::set_reserved(const std::map<std::string, Resources>& by_machine,
-                           std::vector<Resources> by_team) {
+                           std::vector<Resources> by_team, const Resources& per_gpu) {
   for (Machine* machine : reserved_machines_) machine->reserved = Resources{};
   reserved_machines_.clear();
   for (const auto& [id, room] : by_machine) {
@@ -70,6 +71,7 @@
     reserved_machines_.push_back(machine);
   }
   allocations_.usage().reserve(std::move(by_team));
+  reserved_per_gpu_ = per_gpu;
 }
 
 void Cluster::stop(Machine& machine, Allocation& allocation, StopReason reason, Seconds grace,
--- a/src/dunlinknot/cluster/demand_forecasts.cpp
+++ b/src/dunlinknot/cluster/demand_forecasts.cpp
@@ -31,14 +31,20 @@
 
 }  // namespace
 
-void DemandForecasts::add_resources_per_gpu(const Resources& need) {
+bool DemandForecasts::accelerators_expected(WallTime now) const {
+  return latest_gpu_submission_ != WallTime::min() &&
+         now - latest_gpu_submission_ <= kForecastWindow;
+}
+
+void DemandForecasts::add_resources_per_gpu(const Resources& need, WallTime submitted) {
   if (need.gpus <= 0) return;
+  latest_gpu_submission_ = std::max(latest_gpu_submission_, submitted);
   update_decaying_maximum(resources_per_gpu_.cpus, need.cpus / need.gpus);
   update_decaying_maximum(resources_per_gpu_.memory_gb, need.memory_gb / need.gpus);
 }
 
 void DemandForecasts::add(const JobSpec& spec, WallTime submitted) {
-  add_resources_per_gpu(spec.need);
+  add_resources_per_gpu(spec.need, submitted);
   const std::optional<Seconds> target_wait = min_target_wait(platform_, spec.job_class);
   if (!target_wait) return;
   DemandForecast& forecast = by_class_[spec.job_class];
--- a/src/dunlinknot/cluster/demand_forecasts.hpp
+++ b/src/dunlinknot/cluster/demand_forecasts.hpp
@@ -39,13 +39,16 @@
   const std::map<std::string, DemandForecast>& by_class() const { return by_class_; }
   // CPUs and memory that a task needs per accelerator; zero before the first such job.
   const Resources& resources_per_gpu() const { return resources_per_gpu_; }
+  // Whether a job that needs accelerators was submitted recently, so that more are expected.
+  bool accelerators_expected(WallTime now) const;
 
  private:
-  void add_resources_per_gpu(const Resources& need);
+  void add_resources_per_gpu(const Resources& need, WallTime submitted);
 
   const settings::Platform& platform_;
   std::map<std::string, DemandForecast> by_class_;
   Resources resources_per_gpu_;
+  WallTime latest_gpu_submission_ = WallTime::min();
 };
 
 }  // namespace dunlinknot::cluster
--- a/src/dunlinknot/cluster/heartbeats.cpp
+++ b/src/dunlinknot/cluster/heartbeats.cpp
@@ -73,7 +73,7 @@
   reconciler_.apply(machine, {heartbeat, now, epoch_, true}, changed);
   effects |= changed;
   if (!may_start || machine.draining || machine.terminating) return response;
-  allocations_.start_queued(machine, resources_per_gpu(), now);
+  allocations_.start_queued(machine, reserved_per_gpu_, now);
   response.run_likely = worker_commands_.is_run_likely(
       machine, has_pending_work_ && (changed.schedule || !was_fenced));
   return response;
--- a/src/dunlinknot/cluster/job.cpp
+++ b/src/dunlinknot/cluster/job.cpp
@@ -9,6 +9,7 @@
          Instant known_since, uint32_t storable_in_chunk)
     : mod_revision(record_mod_revision),
       waiting_since(known_since),
+      held_back_since(known_since),
       spec_(std::move(spec)),
       submitted_(submitted),
       known_since_(known_since),
--- a/src/dunlinknot/cluster/job.hpp
+++ b/src/dunlinknot/cluster/job.hpp
@@ -104,6 +104,9 @@
   uint64_t gang_attempt = 0;    // the latest attempt
   bool gang_may_start = false;  // all allocations of that attempt are durable: runs may be sent
   Instant waiting_since{};      // since when some of its tasks have been pending
+  // Since when its tasks wait although its team's limit allows more: the latest time at which one
+  // of them was placed to start at once, the limit allowed none, or `waiting_since`.
+  Instant held_back_since{};
 
  private:
   // Whether a task from a list of candidates is still pending.
--- a/src/dunlinknot/scheduler/arrays.hpp
+++ b/src/dunlinknot/scheduler/arrays.hpp
@@ -29,8 +29,19 @@
     uint32_t retried = 0;  // tasks placed on machines where tasks of the job had failed
   };
   // Requests machines, retries on failed machines or preempts for `unplaced` tasks.
-  CapacityResult request_capacity(const QueueEntry& entry, uint32_t unplaced,
+  // `any_placed`: a task of the job was placed in this cycle.
+  CapacityResult request_capacity(const QueueEntry& entry, uint32_t unplaced, bool any_placed,
                                   JobNominations& nominations, PlacementConstraints& constraints);
+  // Reserves upcoming machines for the tasks, or requests new ones. `expected` are the constraints
+  // with the job's tasks and nominations. Returns how many tasks that provides for.
+  uint32_t provide_machines(const QueueEntry& entry, uint32_t unplaced,
+                            PlacementConstraints expected);
+  // Places the first tasks of a job that was held back for too long in room that is reserved for
+  // jobs that are only expected, or on machines where its tasks failed. Returns the number placed.
+  uint32_t place_held_back(const Job& job, uint32_t max_tasks, PlacementConstraints& constraints);
+  // `placed`: the job's tasks placed in this cycle. Moves up to `max_tasks` queued tasks.
+  void move_queued(const QueueEntry& entry, uint32_t placed, uint32_t max_tasks,
+                   PlacementConstraints& constraints);
   // Places tasks for which no other machine has room or can be launched on machines where tasks of
   // the job failed, if the delay after the failure is over. Returns the number placed.
   uint32_t retry_on_failed_machines(const Job& job, uint32_t max_tasks,
--- a/src/dunlinknot/scheduler/candidates.hpp
+++ b/src/dunlinknot/scheduler/candidates.hpp
@@ -39,6 +39,7 @@
   Resources room;
   std::string_view owner;  // name of the job class or id of the gang; empty: not reserved
   Priority priority = Priority::low;  // jobs of higher priority may use the room
+  bool for_gang = false;              // a gang waits for it; otherwise its jobs are only expected
   bool has_owner() const { return !owner.empty(); }
 };
 
--- a/src/dunlinknot/scheduler/cycle_state.cpp
+++ b/src/dunlinknot/scheduler/cycle_state.cpp
@@ -17,6 +17,11 @@
   });
 }
 
+Resources reserved_per_accelerator(const CycleInputs& inputs, bool accelerators_wanted) {
+  if (!accelerators_wanted && !inputs.cluster.accelerators_expected(inputs.wall)) return {};
+  return inputs.cluster.resources_per_gpu();
+}
+
 }  // namespace
 
 CycleState::CycleState(const CycleInputs& cycle_inputs)
@@ -24,7 +29,9 @@
       candidates(inputs),
       quotas(inputs.cluster),
       guaranteed_jobs(jobs_within_guarantee(inputs.cluster)),
-      accelerators_wanted(accelerators_are_wanted(inputs.cluster, quotas)) {
+      accelerators_wanted(accelerators_are_wanted(inputs.cluster, quotas)),
+      reserved_per_gpu(reserved_per_accelerator(inputs, accelerators_wanted)) {
+  plan.reserved_per_gpu = reserved_per_gpu;
   plan.reserved_quota.resize(quotas.team_count());
 }
 
@@ -32,6 +39,10 @@
   return !job.failing && !job.failures.empty() && retrying_jobs_.insert(&job).second;
 }
 
+bool CycleState::is_held_back(const Job& job) const {
+  return to_seconds(inputs.now - job.held_back_since) >= kMaxHeldBack;
+}
+
 bool CycleState::quota_is_reserved(const Job& job) const {
   const Resources& reserved = plan.reserved_quota[static_cast<size_t>(job.team())];
   return reserved.cpus > 0 || reserved.gpus > 0;
--- a/src/dunlinknot/scheduler/gang_reservation.cpp
+++ b/src/dunlinknot/scheduler/gang_reservation.cpp
@@ -74,7 +74,8 @@
     auto& slots = by_zone[spec.one_zone ? offer.zone : std::string()];
     for (CandidateMachine* candidate : pool.ready) {
       const ReservedRoom& reserved = candidate->reserved;
-      if (reserved.has_owner() && reserved.owner != spec.job_class) continue;
+      const bool may_take = !reserved.for_gang && state.reservations_waived(job);
+      if (reserved.has_owner() && reserved.owner != spec.job_class && !may_take) continue;
       if (may_use(state, job, *candidate)) add_slots(spec, *candidate, state.inputs.now, slots);
     }
   }
@@ -116,6 +117,7 @@
     if (reserved.owner != spec.id) reserved.room = Resources{};
     reserved.room += spec.need;
     reserved.owner = spec.id;
+    reserved.for_gang = true;
     reserved.priority = Priority::production;  // so that no other job may use the room
     state_.plan.machines_to_keep.push_back(slot.candidate->machine->id);
   }
--- a/src/dunlinknot/scheduler/gangs.cpp
+++ b/src/dunlinknot/scheduler/gangs.cpp
@@ -53,7 +53,15 @@
   }
 }
 
+// A gang that was held back may also retry on machines where its tasks failed.
+std::unique_ptr<ReservationWaiver> GangScheduling::waive_if_held_back(const Job& job) {
+  if (!state_.is_held_back(job)) return nullptr;
+  state_.allow_retry(job);
+  return std::make_unique<ReservationWaiver>(state_, job);
+}
+
 bool GangScheduling::place_or_reserve(const Job& job) {
+  const auto waiver = waive_if_held_back(job);
   if (state_.quotas.tasks_allowed(job) >= job.spec().tasks &&
       place_gang(state_, job, Borrowing::any)) {
     placed_overdue_.insert(&job);
@@ -65,10 +73,12 @@
 std::optional<WaitCause> GangScheduling::schedule(const QueueEntry& entry) {
   const Job& job = *entry.job;
   const JobSpec& spec = job.spec();
+  const auto waiver = waive_if_held_back(job);
   if (state_.quotas.tasks_allowed(job) < spec.tasks) {
     // The team's limit does not allow all of the gang's tasks now. The remaining quota is reserved
     // for the gang: otherwise jobs behind it in the queue would take the quota piece by piece and
     // the gang would never start.
+    state_.plan.jobs_at_limit.push_back(spec.id);
     state_.quotas.charge(job, spec.tasks);
     state_.plan.reserved_quota[static_cast<size_t>(job.team())] += spec.need * spec.tasks;
     return WaitCause::team_limit;
--- a/src/dunlinknot/scheduler/gangs.hpp
+++ b/src/dunlinknot/scheduler/gangs.hpp
@@ -1,6 +1,7 @@
 // The stage that schedules gangs: placement at once, on upcoming or newly requested machines, or a
 // reservation of room where running tasks are expected to end.
 #pragma once
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -29,8 +30,11 @@
   bool placed_as_overdue(const Job& job) const { return placed_overdue_.contains(&job); }
 
  private:
-  // The same for a gang whose team's limit allows all of its tasks.
+  // schedule() for a gang whose team's limit allows all of its tasks.
   std::optional<WaitCause> schedule_within_limit(const QueueEntry& entry);
+  // Lets a gang that was held back use room that is reserved for jobs that are only expected; null
+  // for other gangs.
+  std::unique_ptr<ReservationWaiver> waive_if_held_back(const Job& job);
   // Returns whether room was reserved; false also when the gang was placed.
   bool place_or_reserve(const Job& job);
 
--- a/src/dunlinknot/scheduler/machine_queueing.cpp
+++ b/src/dunlinknot/scheduler/machine_queueing.cpp
@@ -36,6 +36,16 @@
                     slots * kMaxQueuedTasksPerSlot);
 }
 
+// Whether a task that needs `need` fits once the jobs that run on the machine have ended. Replicas
+// of services do not end.
+bool fits_once_jobs_end(const Machine& machine, const Resources& need) {
+  Resources room = machine.size;
+  for (const Allocation& allocation : machine.allocations) {
+    if (allocation.service) room -= allocation.need;
+  }
+  return need.fits_in(room);
+}
+
 // The number of tasks queued on the machine that would start before one at this position: those
 // queued in this cycle, and earlier ones with a better position.
 uint32_t queued_before(const CandidateMachine& candidate, const cluster::QueuePosition& position) {
@@ -88,7 +98,7 @@
       const uint32_t before = queued_before(*candidate, position);
       // The queue is refilled when it is half empty, not task by task.
       if (before * 2 > max_tasks || is_last_resort(state_, job, *candidate) ||
-          !may_use(state_, job, *candidate))
+          !may_use(state_, job, *candidate) || !fits_once_jobs_end(*candidate->machine, spec.need))
         continue;
       const uint32_t queued = std::min(
           {tasks, max_tasks - before, tasks_allowed_by_record(state_.cluster(), job, *candidate)});
--- a/src/dunlinknot/scheduler/placement.cpp
+++ b/src/dunlinknot/scheduler/placement.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <limits>
 
+#include "dunlinknot/cluster/accelerator_reserve.hpp"
+
 namespace dunlinknot::scheduler {
 
 namespace {
@@ -25,13 +27,7 @@
 // How many accelerators of an empty machine one task of the job, which needs none, would strand:
 // the remaining cpus and memory no longer suffice to use them.
 double stranded_gpus(const Cluster& cluster, const JobSpec& spec, const MachineType& type) {
-  const Resources& needed_per_gpu = cluster.resources_per_gpu();
-  if (needed_per_gpu.cpus <= 0 || needed_per_gpu.memory_gb <= 0) return 0;
-  const Resources remaining = type.size - spec.need;
-  const double usable_gpus =
-      std::min(std::floor(remaining.cpus / needed_per_gpu.cpus + Resources::kTolerance),
-               std::floor(remaining.memory_gb / needed_per_gpu.memory_gb + Resources::kTolerance));
-  return type.size.gpus - std::clamp(usable_gpus, 0.0, type.size.gpus);
+  return type.size.gpus - cluster::usable_gpus(type.size - spec.need, cluster.resources_per_gpu());
 }
 
 double fetch_cost(const JobSpec& spec, const CandidateMachine& candidate) {
@@ -67,25 +63,68 @@
                              state.inputs.now);
 }
 
+// Whether any machine type that the job may use has room for its tasks beside the reserve for the
+// accelerators of an empty machine.
+bool fits_beside_accelerators(const CycleState& state, const JobSpec& spec) {
+  const auto& catalog = state.cluster().catalog();
+  return std::any_of(catalog.begin(), catalog.end(), [&](const MachineType& type) {
+    return cluster::type_allowed(spec, type.name) && spec.need.fits_in(type.size) &&
+           spec.need.fits_in(type.size - cluster::reserved_for_accelerators(
+                                             type.size, type.size, state.reserved_per_gpu));
+  });
+}
+
+// For each free accelerator, single tasks that need none leave the cpus and memory that its next
+// task will need. Otherwise machines launched for their accelerators would fill up with tasks that
+// can run anywhere and are soon preempted for a guarantee. A job that could run nowhere under this
+// rule is exempt.
+bool leaves_room_for_accelerators(const CycleState& state, const Job& job) {
+  const JobSpec& spec = job.spec();
+  if (spec.gang || spec.need.gpus > 0 || state.reservations_waived(job)) return false;
+  const bool reserves = state.reserved_per_gpu.cpus > 0 || state.reserved_per_gpu.memory_gb > 0;
+  return reserves && fits_beside_accelerators(state, spec);
+}
+
+bool is_reserved_for_other(const CycleState& state, const Job& job, const ReservedRoom& reserved) {
+  const JobSpec& spec = job.spec();
+  if (!reserved.has_owner() || reserved.owner == spec.job_class || reserved.owner == spec.id)
+    return false;
+  if (spec.priority > reserved.priority) return false;
+  return reserved.for_gang || !state.reservations_waived(job);
+}
+
 // The room on the machine that the job may use after reservations, regardless of the holds of
 // nominations; empty: no restriction.
-std::optional<Resources> room_after_reservations(const Cluster& cluster, const JobSpec& spec,
+std::optional<Resources> room_after_reservations(const CycleState& state, const Job& job,
                                                  const CandidateMachine& candidate) {
   std::optional<Resources> unreserved;
   const Resources& free = candidate.capacity.free();
   const ReservedRoom& reserved = candidate.reserved;
-  // For each free accelerator, single tasks that need none leave the cpus and memory that its next
-  // task will need. Otherwise machines launched for their accelerators would fill up with tasks
-  // that can run anywhere and are soon preempted for a guarantee.
-  if (!spec.gang && spec.need.gpus <= 0 && free.gpus > 0 && reserved.owner != spec.job_class)
-    unreserved = free - cluster.resources_per_gpu() * free.gpus;
-  const bool reserved_for_other =
-      reserved.has_owner() && reserved.owner != spec.job_class && reserved.owner != spec.id;
-  if (reserved_for_other && spec.priority <= reserved.priority)
+  if (free.gpus > 0 && reserved.owner != job.spec().job_class &&
+      leaves_room_for_accelerators(state, job)) {
+    unreserved = free - cluster::reserved_for_accelerators(candidate.capacity.machine().size, free,
+                                                           state.reserved_per_gpu);
+  }
+  if (is_reserved_for_other(state, job, reserved))
     unreserved = unreserved.value_or(free) - reserved.room;
   return unreserved;
 }
 
+// How many tasks fit into this room, up to `max_tasks`. Unlike in preemption::tasks_that_fit_in, a
+// resource that the task does not need sets no limit, even where a negative amount of it is left.
+uint32_t tasks_in_unreserved_room(const Resources& unreserved, const Resources& need,
+                                  uint32_t max_tasks) {
+  const auto limit = [&](double available, double needed) {
+    if (needed <= 0) return;
+    const double fitting_tasks = std::floor((available + Resources::kTolerance) / needed);
+    max_tasks = fitting_tasks <= 0 ? 0 : std::min(max_tasks, static_cast<uint32_t>(fitting_tasks));
+  };
+  limit(unreserved.cpus, need.cpus);
+  limit(unreserved.gpus, need.gpus);
+  limit(unreserved.memory_gb, need.memory_gb);
+  return max_tasks;
+}
+
 }  // namespace
 
 bool would_borrow(const JobSpec& spec, const MachineType* type) {
@@ -153,23 +192,23 @@
                         uint32_t max_tasks) {
   const JobSpec& spec = job.spec();
   max_tasks = std::min(max_tasks, tasks_allowed_by_record(state.cluster(), job, candidate));
-  if (const auto unreserved = room_after_reservations(state.cluster(), spec, candidate)) {
-    // Unlike in preemption::tasks_that_fit_in, a resource that the task does not need sets no
-    // limit, even where a negative amount of it is left.
-    const auto limit = [&](double available, double need) {
-      if (need <= 0) return;
-      const double fitting_tasks = std::floor((available + Resources::kTolerance) / need);
-      max_tasks =
-          fitting_tasks <= 0 ? 0 : std::min(max_tasks, static_cast<uint32_t>(fitting_tasks));
-    };
-    limit(unreserved->cpus, spec.need.cpus);
-    limit(unreserved->gpus, spec.need.gpus);
-    limit(unreserved->memory_gb, spec.need.memory_gb);
-    if (max_tasks == 0) return 0;
-  }
+  if (const auto unreserved = room_after_reservations(state, job, candidate))
+    max_tasks = tasks_in_unreserved_room(*unreserved, spec.need, max_tasks);
+  if (max_tasks == 0) return 0;
   return candidate.capacity.count(spec.need, spec.priority, max_tasks);
 }
 
+uint32_t tasks_on_empty_machine(const CycleState& state, const Job& job, const MachineType& type,
+                                uint32_t max_tasks) {
+  const Resources& need = job.spec().need;
+  if (leaves_room_for_accelerators(state, job)) {
+    const Resources unreserved = type.size - cluster::reserved_for_accelerators(
+                                                 type.size, type.size, state.reserved_per_gpu);
+    max_tasks = tasks_in_unreserved_room(unreserved, need, max_tasks);
+  }
+  return preemption::tasks_that_fit_in(type.size, need, max_tasks);
+}
+
 std::vector<RankedCandidate> ranked_candidates(CycleState& state, const Job& job,
                                                Readiness readiness, Borrowing borrowing) {
   const JobSpec& spec = job.spec();
--- a/src/dunlinknot/scheduler/placement.hpp
+++ b/src/dunlinknot/scheduler/placement.hpp
@@ -57,6 +57,11 @@
 uint32_t tasks_that_fit(const CycleState& state, const Job& job, const CandidateMachine& candidate,
                         uint32_t max_tasks);
 
+// How many tasks of the job would be placed on an empty machine of this type, up to `max_tasks`,
+// under the same rules. A machine of a type with none must not be launched for the job.
+uint32_t tasks_on_empty_machine(const CycleState& state, const Job& job, const MachineType& type,
+                                uint32_t max_tasks);
+
 // The candidates that the job may use and that have room for one task, cheapest first; ties keep
 // the order of the pools. The cost is the seconds until a task would start there, plus penalties
 // for capacity that it would block.
--- a/src/dunlinknot/scheduler/preemption.cpp
+++ b/src/dunlinknot/scheduler/preemption.cpp
@@ -55,7 +55,7 @@
   if (unplaced == 0 && to_renew.empty()) return;
   // If machines can be launched, a task whose room was lost gets a machine like any other task. Its
   // nomination is cleared, since it would be neither used nor renewed.
-  const bool can_scale_out = scale_out_.possible(job.spec(), constraints);
+  const bool can_scale_out = scale_out_.possible(job, constraints);
   for (const uint64_t id : to_renew) {
     if (!can_scale_out && nominate(entry, id, constraints)) continue;
     clear_nomination(state_, id);
--- a/src/dunlinknot/scheduler/scale_out.cpp
+++ b/src/dunlinknot/scheduler/scale_out.cpp
@@ -13,7 +13,7 @@
 // The maximum number of machines requested for one array in one cycle; further machines are
 // requested in later cycles.
 constexpr uint32_t kMaxMachinesPerRequest = 50;
-constexpr double kRoundingTolerance = 1e-9;  // 1 / share may fall just short of a whole number
+constexpr uint32_t kMaxTasksPerMachine = 100'000;  // higher counts are not distinguished
 
 struct RankedOffer {
   Offer offer;
@@ -26,25 +26,18 @@
   }
 };
 
-// The share of an empty machine that a task takes: the largest over its resources.
-double share_of(const Resources& need, const Resources& size) {
-  double share = 0;
-  if (size.cpus > 0) share = std::max(share, need.cpus / size.cpus);
-  if (size.memory_gb > 0) share = std::max(share, need.memory_gb / size.memory_gb);
-  if (size.gpus > 0) share = std::max(share, need.gpus / size.gpus);
-  return share;
-}
-
 // The offers that may be launched for a job, in zones where it may have further tasks; sorted by
-// price per task.
-std::vector<RankedOffer> ranked_offers(const CycleInputs& inputs, const JobSpec& spec,
+// price per task. On each of them the next cycle would place the job's tasks.
+std::vector<RankedOffer> ranked_offers(const CycleState& state, const Job& job,
                                        const PlacementConstraints& constraints) {
+  const CycleInputs& inputs = state.inputs;
+  const JobSpec& spec = job.spec();
   std::vector<RankedOffer> ranked;
   for (const MachineType& type : inputs.cluster.catalog()) {
     if (!cluster::type_allowed(spec, type.name) || !spec.need.fits_in(type.size)) continue;
-    const double share = share_of(spec.need, type.size);
-    const uint32_t fitting = share > 0 ? static_cast<uint32_t>(1 / share + kRoundingTolerance) : 1;
-    const uint32_t tasks_per_machine = std::max(1u, fitting);
+    const uint32_t tasks_per_machine =
+        tasks_on_empty_machine(state, job, type, kMaxTasksPerMachine);
+    if (tasks_per_machine == 0) continue;
     for (const auto& zone : type.zones) {
       if (constraints.tasks_allowed(zone) == 0) continue;
       for (const bool spot : {true, false}) {
@@ -111,9 +104,8 @@
 
 }  // namespace
 
-bool ScaleOutRequests::possible(const JobSpec& spec,
-                                const PlacementConstraints& constraints) const {
-  return !ranked_offers(state_.inputs, spec, constraints).empty() && !machine_limit_reached();
+bool ScaleOutRequests::possible(const Job& job, const PlacementConstraints& constraints) const {
+  return !ranked_offers(state_, job, constraints).empty() && !machine_limit_reached();
 }
 
 bool ScaleOutRequests::machine_limit_reached() const {
@@ -140,7 +132,7 @@
   const Job& job = *entry.job;
   const JobSpec& spec = job.spec();
   if (job.failing) return 0;
-  const auto offers = ranked_offers(state_.inputs, spec, expected);
+  const auto offers = ranked_offers(state_, job, expected);
   if (offers.empty() || machine_limit_reached()) return 0;
   const RankedOffer& cheapest = offers.front();
   // Tasks that the job may not have in this zone get machines elsewhere in later cycles.
@@ -154,7 +146,7 @@
   const uint32_t machines = std::clamp(cheapest.machines_for(slots), 1u, kMaxMachinesPerRequest);
   for (uint32_t i = 0; i < machines && !machine_limit_reached(); ++i) {
     CandidateMachine& candidate = request_machine(cheapest.offer, spec.id);
-    const uint32_t tasks = candidate.capacity.count(spec.need, spec.priority, slots);
+    const uint32_t tasks = tasks_that_fit(state_, job, candidate, slots);
     candidate.capacity.take(spec.need * tasks);
     slots -= tasks;
   }
@@ -167,7 +159,7 @@
   const JobSpec& spec = job.spec();
   if (job.failing) return true;
   const PlacementConstraints constraints = state_.cluster().constraints_of(job);
-  const auto offers = ranked_offers(state_.inputs, spec, constraints);
+  const auto offers = ranked_offers(state_, job, constraints);
   if (offers.empty() || machine_limit_reached()) return false;
   const GangRequest request = cheapest_for_gang(state_, spec, offers, constraints,
                                                 room_by_zone(state_, job, borrowing), borrowing);
--- a/src/dunlinknot/scheduler/scale_out.hpp
+++ b/src/dunlinknot/scheduler/scale_out.hpp
@@ -13,7 +13,7 @@
   explicit ScaleOutRequests(CycleState& state) : state_(state) {}
 
   // Whether any machine may be launched for the job, in zones where it may have further tasks.
-  bool possible(const JobSpec& spec, const PlacementConstraints& constraints) const;
+  bool possible(const Job& job, const PlacementConstraints& constraints) const;
 
   // Requests machines for `unplaced` tasks of an array or service; returns how many tasks that
   // provides for. `expected` counts the job's tasks, nominations and reserved slots on upcoming
--- a/src/dunlinknot/scheduler/scheduler.hpp
+++ b/src/dunlinknot/scheduler/scheduler.hpp
@@ -113,6 +113,9 @@
   std::vector<QueuedPlacement> queued;
   std::map<std::string, Resources> reserved_room;  // by machine; queued tasks must not take it
   std::vector<Resources> reserved_quota;           // by team; kept for waiting gangs
+  // CPUs and memory that single tasks without accelerators leave for each free accelerator.
+  Resources reserved_per_gpu;
+  std::vector<std::string> jobs_at_limit;  // their team's limit allows none of their tasks
   std::vector<CapacityRequest> capacity_requests;
   std::vector<Preemption> preemptions;
   std::vector<uint64_t> cleared_nominations;  // that are no longer needed
