Scheduler: reserve a team's limit only for a gang that can start

Cause: a gang above its team's limit was charged in full in each cycle, also where only the end of a service could let it fit, and each further gang as well.

Fix: the limit is reserved for one gang a team, if it fits once jobs of the team have ended, and machines that are up or can be launched have room for it. What will remain of the limit when the gang can start, by the estimates, stays usable. Tasks queued on machines get the same allowance. An overdue gang reserves room on machines only if its team's limit can come to allow it.

Changed tests: TeamUsageTable.CountsReservationsAgainstLimit and the last lines of QueuedTasksRespectTeamLimit checked a reserved amount beside the usage, under which a part that a task frees could be used by the next queued task. Their replacements, LimitsTeamToItsAllowanceWhateverBecomesFree and QueuedTasksLeaveQuotaReservedForGang, check that it cannot.

--- a/src/dunlinknot/cluster/cluster.hpp
+++ b/src/dunlinknot/cluster/cluster.hpp
@@ -141,10 +141,12 @@
   // Ends the allocation of one of the job's queued tasks, so that it can be placed elsewhere.
   // Returns false if the job has none.
   bool withdraw_queued(const std::string& job, Instant now);
-  // Sets the resources that queued tasks must leave free on machines, within team limits and, if
-  // they need no accelerators, for each free accelerator; replaces the previous reservations.
+  // Sets the resources that queued tasks must leave free on machines and, if they need no
+  // accelerators, for each free accelerator, and the teams' allowances (see
+  // TeamUsageTable::set_allowances); replaces the previous ones.
   void set_reserved(const std::map<std::string, Resources>& by_machine,
-                    std::vector<Resources> by_team, const Resources& per_gpu = {});
+                    std::vector<std::optional<Resources>> allowances,
+                    const Resources& per_gpu = {});
   // See AllocationTable::stop.
   void stop(Machine& machine, Allocation& allocation, StopReason reason, Seconds grace,
             Instant now);
--- a/src/dunlinknot/cluster/decisions.cpp
+++ b/src/dunlinknot/cluster/decisions.cpp
@@ -61,7 +61,8 @@
 }
 
 void Cluster::set_reserved(const std::map<std::string, Resources>& by_machine,
-                           std::vector<Resources> by_team, const Resources& per_gpu) {
+                           std::vector<std::optional<Resources>> allowances,
+                           const Resources& per_gpu) {
   for (Machine* machine : reserved_machines_) machine->reserved = Resources{};
   reserved_machines_.clear();
   for (const auto& [id, room] : by_machine) {
@@ -70,7 +71,7 @@
     machine->reserved = room;
     reserved_machines_.push_back(machine);
   }
-  allocations_.usage().reserve(std::move(by_team));
+  allocations_.usage().set_allowances(std::move(allowances));
   reserved_per_gpu_ = per_gpu;
 }
 
--- a/src/dunlinknot/cluster/team_usage.cpp
+++ b/src/dunlinknot/cluster/team_usage.cpp
@@ -5,11 +5,14 @@
 
 void TeamUsageTable::clear() {
   usage_.assign(teams_.size(), TeamUsage{});
-  reserved_.clear();
+  allowances_.clear();
 }
 
 void TeamUsageTable::add(int team, const Resources& need) {
-  if (team >= 0) usage_[static_cast<size_t>(team)].used += need;
+  if (team < 0) return;
+  const auto index = static_cast<size_t>(team);
+  usage_[index].used += need;
+  if (index < allowances_.size() && allowances_[index]) *allowances_[index] -= need;
 }
 
 void TeamUsageTable::remove(int team, const Resources& need) {
@@ -19,8 +22,14 @@
 bool TeamUsageTable::allows(int team, const Resources& need) const {
   if (team < 0) return true;
   const auto index = static_cast<size_t>(team);
-  Resources used = usage_[index].used + need;
-  if (index < reserved_.size()) used += reserved_[index];
+  const Resources used = usage_[index].used + need;
+  if (index < allowances_.size() && allowances_[index]) {
+    const Resources& allowance = *allowances_[index];
+    const auto exceeds = [](double allowed, double needed) {
+      return needed > 0 && needed > allowed + Resources::kTolerance;
+    };
+    if (exceeds(allowance.cpus, need.cpus) || exceeds(allowance.gpus, need.gpus)) return false;
+  }
   const auto over = [](double max, double in_use, double needed) {
     return max > 0 && needed > 0 && in_use > max + Resources::kTolerance;
   };
--- a/src/dunlinknot/cluster/team_usage.hpp
+++ b/src/dunlinknot/cluster/team_usage.hpp
@@ -1,6 +1,7 @@
 // The resources that each team uses, and the check of its limit.
 #pragma once
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "dunlinknot/settings/settings.hpp"
@@ -25,16 +26,19 @@
   const TeamUsage& of(int team) const { return usage_[static_cast<size_t>(team)]; }
   void add(int team, const Resources& need);
   void remove(int team, const Resources& need);
-  // Replaces the resources reserved within team limits for pending gangs, by team index. Teams
-  // beyond the end of the vector have no reservation.
-  void reserve(std::vector<Resources> by_team) { reserved_ = std::move(by_team); }
-  // Whether the team may use `need` in addition, given its limit, its usage and its reservation.
+  // Replaces the allowances, by team index: what a team whose limit is reserved for a waiting gang
+  // may use in addition, whatever becomes free. Resources added later are subtracted. The usage of
+  // other teams and of teams beyond the end of the vector is bounded by the limit only.
+  void set_allowances(std::vector<std::optional<Resources>> by_team) {
+    allowances_ = std::move(by_team);
+  }
+  // Whether the team may use `need` in addition, given its limit, its usage and its allowance.
   bool allows(int team, const Resources& need) const;
 
  private:
   const std::vector<settings::Team>& teams_;
   std::vector<TeamUsage> usage_;
-  std::vector<Resources> reserved_;
+  std::vector<std::optional<Resources>> allowances_;
 };
 
 }  // namespace dunlinknot::cluster
--- a/src/dunlinknot/scheduler/apply.cpp
+++ b/src/dunlinknot/scheduler/apply.cpp
@@ -94,7 +94,7 @@
   for (const Placement& placement : plan.placements) allocate_tasks(placement, state, now, effects);
   for (const GangPlacement& gang : plan.gangs) allocate_gang(gang, state, now, effects);
   for (const QueuedPlacement& placement : plan.queued) queue_tasks(placement, state, now, effects);
-  state.cluster.set_reserved(plan.reserved_room, plan.reserved_quota, plan.reserved_per_gpu);
+  state.cluster.set_reserved(plan.reserved_room, plan.quota_allowances, plan.reserved_per_gpu);
   for (const std::string& id : plan.jobs_at_limit) {
     if (Job* job = state.cluster.job(id)) job->held_back_since = now;
   }
--- a/src/dunlinknot/scheduler/cycle_state.cpp
+++ b/src/dunlinknot/scheduler/cycle_state.cpp
@@ -32,7 +32,6 @@
       accelerators_wanted(accelerators_are_wanted(inputs.cluster, quotas)),
       reserved_per_gpu(reserved_per_accelerator(inputs, accelerators_wanted)) {
   plan.reserved_per_gpu = reserved_per_gpu;
-  plan.reserved_quota.resize(quotas.team_count());
 }
 
 bool CycleState::allow_retry(const Job& job) {
@@ -43,11 +42,6 @@
   return to_seconds(inputs.now - job.held_back_since) >= kMaxHeldBack;
 }
 
-bool CycleState::quota_is_reserved(const Job& job) const {
-  const Resources& reserved = plan.reserved_quota[static_cast<size_t>(job.team())];
-  return reserved.cpus > 0 || reserved.gpus > 0;
-}
-
 void CycleState::add_waiting_job(const Job& job, WaitCause cause) {
   if (job.live_count() > job.queued_tasks || job.done_count() > 0) return;
   plan.waiting_jobs.push_back(
--- a/src/dunlinknot/scheduler/cycle_state.hpp
+++ b/src/dunlinknot/scheduler/cycle_state.hpp
@@ -37,7 +37,7 @@
   // See ReservationWaiver.
   bool reservations_waived(const Job& job) const { return job_without_reservations_ == &job; }
   // Whether a part of the limit of the job's team is reserved for a gang of that team.
-  bool quota_is_reserved(const Job& job) const;
+  bool quota_is_reserved(const Job& job) const { return quotas.allowance(job.team()).has_value(); }
   // Adds the job to the plan's waiting jobs unless one of its tasks has started or ended.
   void add_waiting_job(const Job& job, WaitCause cause);
 
--- a/src/dunlinknot/scheduler/gang_reservation.cpp
+++ b/src/dunlinknot/scheduler/gang_reservation.cpp
@@ -5,16 +5,12 @@
 #include <algorithm>
 #include <functional>
 
+#include "dunlinknot/scheduler/task_ends.hpp"
+
 namespace dunlinknot::scheduler {
 
 namespace {
 
-// A task that has not started is assumed to take 1.5 times its estimate, the fetch included.
-constexpr double kNotStartedFactor = 1.5;
-// A task that runs longer than its estimate may end at any time: it is assumed to need another
-// quarter of its estimate.
-constexpr double kOverrunDivisor = 4;
-
 // Room on a machine for one of the gang's tasks.
 struct FreeSlot {
   double in_seconds = 0;  // until the slot is free, by the estimates
@@ -26,16 +22,6 @@
   const Allocation* allocation = nullptr;
 };
 
-// Seconds until the task ends, by the estimate in its job.
-double seconds_until_end(const Allocation& allocation, Instant now) {
-  if (allocation.service) return std::numeric_limits<double>::max();
-  const double estimated_seconds = std::max(1.0, allocation.estimate.count());
-  if (allocation.running_since == Instant{}) return estimated_seconds * kNotStartedFactor;
-  const double elapsed_seconds = to_seconds(now - allocation.running_since).count();
-  return elapsed_seconds < estimated_seconds ? estimated_seconds - elapsed_seconds
-                                             : estimated_seconds / kOverrunDivisor;
-}
-
 // The array tasks on the machine in the order in which they are expected to end.
 std::vector<EndingTask> ending_tasks(const Machine& machine, Instant now) {
   std::vector<EndingTask> tasks;
@@ -100,8 +86,39 @@
   return chosen;
 }
 
+// The room on the machine for tasks of jobs once all jobs that run there now have ended.
+Resources room_once_jobs_end(const CandidateMachine& candidate) {
+  Resources room = candidate.capacity.machine().size;
+  for (const Allocation& allocation : candidate.capacity.machine().allocations) {
+    if (allocation.service) room -= allocation.need;
+  }
+  return room;
+}
+
 }  // namespace
 
+bool GangReservations::fits_once_jobs_end(const Job& job) const {
+  const JobSpec& spec = job.spec();
+  const PlacementConstraints constraints = state_.cluster().constraints_of(job);
+  // By zone if all tasks must be in one zone, else under one empty name.
+  std::map<std::string, PlacementConstraints> constraints_by_zone;
+  std::map<std::string, uint32_t> tasks_by_zone;
+  for (const CandidateMachine& candidate : state_.candidates.all()) {
+    if (!offer_allowed(spec, candidate.pool->offer)) continue;
+    const std::string zone = spec.one_zone ? candidate.zone() : std::string();
+    PlacementConstraints& expected =
+        constraints_by_zone.try_emplace(zone, constraints).first->second;
+    const uint32_t allowed = std::min(spec.tasks, expected.tasks_allowed(candidate.zone()));
+    const uint32_t tasks =
+        preemption::tasks_that_fit_in(room_once_jobs_end(candidate), spec.need, allowed);
+    expected.add(candidate.zone(), tasks);
+    uint32_t& sum = tasks_by_zone[zone];
+    sum += tasks;
+    if (sum >= spec.tasks) return true;
+  }
+  return false;
+}
+
 bool GangReservations::reserve(const Job& job, Borrowing borrowing, double max_seconds) {
   const JobSpec& spec = job.spec();
   if (reserved_.contains(&job)) return true;
--- a/src/dunlinknot/scheduler/gang_reservation.hpp
+++ b/src/dunlinknot/scheduler/gang_reservation.hpp
@@ -21,6 +21,10 @@
   bool reserve(const Job& job, Borrowing borrowing,
                double max_seconds = std::numeric_limits<double>::max());
 
+  // Whether the machines that are up or upcoming have room for the whole gang once all jobs there
+  // have ended. Services do not end.
+  bool fits_once_jobs_end(const Job& job) const;
+
  private:
   CycleState& state_;
   std::set<const Job*> reserved_;
--- a/src/dunlinknot/scheduler/gangs.cpp
+++ b/src/dunlinknot/scheduler/gangs.cpp
@@ -62,11 +62,13 @@
 
 bool GangScheduling::place_or_reserve(const Job& job) {
   const auto waiver = waive_if_held_back(job);
-  if (state_.quotas.tasks_allowed(job) >= job.spec().tasks &&
-      place_gang(state_, job, Borrowing::any)) {
+  const bool within_limit = state_.quotas.tasks_allowed(job) >= job.spec().tasks;
+  if (within_limit && place_gang(state_, job, Borrowing::any)) {
     placed_overdue_.insert(&job);
     return false;
   }
+  // Room that the team's limit will not let the gang use is left to other jobs.
+  if (!within_limit && !state_.quotas.allows_once_jobs_end(job)) return false;
   return reservations_.reserve(job, Borrowing::any);
 }
 
@@ -75,12 +77,8 @@
   const JobSpec& spec = job.spec();
   const auto waiver = waive_if_held_back(job);
   if (state_.quotas.tasks_allowed(job) < spec.tasks) {
-    // The team's limit does not allow all of the gang's tasks now. The remaining quota is reserved
-    // for the gang: otherwise jobs behind it in the queue would take the quota piece by piece and
-    // the gang would never start.
     state_.plan.jobs_at_limit.push_back(spec.id);
-    state_.quotas.charge(job, spec.tasks);
-    state_.plan.reserved_quota[static_cast<size_t>(job.team())] += spec.need * spec.tasks;
+    reserve_quota(job);
     return WaitCause::team_limit;
   }
   auto cause = schedule_within_limit(entry);
@@ -88,6 +86,16 @@
   return cause;
 }
 
+// The team's limit does not allow all of the gang's tasks now. It is reserved for the gang:
+// otherwise jobs behind it in the queue would take what becomes free piece by piece and the gang
+// would never start. It is not reserved if the gang cannot start when jobs of the team have ended,
+// because a service uses the limit or because there are too few machines.
+void GangScheduling::reserve_quota(const Job& job) {
+  const PlacementConstraints constraints = state_.cluster().constraints_of(job);
+  if (scale_out_.possible(job, constraints) || reservations_.fits_once_jobs_end(job))
+    state_.quotas.reserve_for_gang(job, state_.inputs.now);
+}
+
 std::optional<WaitCause> GangScheduling::schedule_within_limit(const QueueEntry& entry) {
   const Job& job = *entry.job;
   const JobSpec& spec = job.spec();
--- a/src/dunlinknot/scheduler/gangs.hpp
+++ b/src/dunlinknot/scheduler/gangs.hpp
@@ -30,6 +30,8 @@
   bool placed_as_overdue(const Job& job) const { return placed_overdue_.contains(&job); }
 
  private:
+  // Reserves the limit of the gang's team if the gang can start when jobs of the team have ended.
+  void reserve_quota(const Job& job);
   // schedule() for a gang whose team's limit allows all of its tasks.
   std::optional<WaitCause> schedule_within_limit(const QueueEntry& entry);
   // Lets a gang that was held back use room that is reserved for jobs that are only expected; null
--- a/src/dunlinknot/scheduler/scheduler.hpp
+++ b/src/dunlinknot/scheduler/scheduler.hpp
@@ -5,6 +5,7 @@
 // Each stage of a cycle has its own file in this directory; scheduling_cycle.cpp runs them.
 #pragma once
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -112,7 +113,8 @@
   std::vector<GangPlacement> gangs;
   std::vector<QueuedPlacement> queued;
   std::map<std::string, Resources> reserved_room;  // by machine; queued tasks must not take it
-  std::vector<Resources> reserved_quota;           // by team; kept for waiting gangs
+  // By team whose limit is reserved for a waiting gang: what the team may use in addition.
+  std::vector<std::optional<Resources>> quota_allowances;
   // CPUs and memory that single tasks without accelerators leave for each free accelerator.
   Resources reserved_per_gpu;
   std::vector<std::string> jobs_at_limit;  // their team's limit allows none of their tasks
--- a/src/dunlinknot/scheduler/scheduling_cycle.cpp
+++ b/src/dunlinknot/scheduler/scheduling_cycle.cpp
@@ -20,6 +20,7 @@
   gangs_.schedule_overdue(queue);
   for (const QueueEntry& entry : queue) schedule(entry);
   record_reserved_room();
+  record_allowances();
   return std::move(state_.plan);
 }
 
@@ -35,6 +36,12 @@
   }
 }
 
+// Records what tasks queued on machines may use of their teams' limits until the next cycle.
+void SchedulingCycle::record_allowances() {
+  for (size_t team = 0; team < state_.quotas.team_count(); ++team)
+    state_.plan.quota_allowances.push_back(state_.quotas.allowance(static_cast<int>(team)));
+}
+
 // Records the room that tasks queued on a machine must not take when a task there ends.
 void SchedulingCycle::record_reserved_room() {
   for (const CandidateMachine& candidate : state_.candidates.all()) {
--- a/src/dunlinknot/scheduler/scheduling_cycle.hpp
+++ b/src/dunlinknot/scheduler/scheduling_cycle.hpp
@@ -19,6 +19,7 @@
  private:
   void schedule(const QueueEntry& entry);
   void record_reserved_room();
+  void record_allowances();
 
   CycleState state_;
   ScaleOutRequests scale_out_;
--- a/src/dunlinknot/scheduler/team_quotas.cpp
+++ b/src/dunlinknot/scheduler/team_quotas.cpp
@@ -4,6 +4,10 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
+
+#include "dunlinknot/preemption/fit.hpp"
+#include "dunlinknot/scheduler/task_ends.hpp"
 
 namespace dunlinknot::scheduler {
 
@@ -24,6 +28,23 @@
   return tasks <= 0 ? 0 : static_cast<uint32_t>(tasks);
 }
 
+// Stands for the excess over a limit that does not exist.
+constexpr double kUnlimited = -std::numeric_limits<double>::max() / 4;
+
+// Whether so many resources are freed that an excess over a team's limit ends.
+bool is_covered(const Resources& excess, const Resources& freed) {
+  return excess.cpus <= freed.cpus + Resources::kTolerance &&
+         excess.gpus <= freed.gpus + Resources::kTolerance;
+}
+
+// How many tasks fit into an allowance.
+uint32_t tasks_within(const Resources& allowance, const Resources& need) {
+  // Teams have no limit on memory.
+  const Resources room{std::max(0.0, allowance.cpus), std::max(0.0, allowance.gpus),
+                       std::numeric_limits<double>::max()};
+  return preemption::tasks_that_fit_in(room, need, std::numeric_limits<uint32_t>::max());
+}
+
 // Whether the guarantee covers `job`, the last of the jobs that need `sum` in total: `sum` must be
 // within the guarantee for each resource that the job needs and that is guaranteed, and there must
 // be at least one such resource.
@@ -46,12 +67,90 @@
   for (size_t team = 0; team < cluster.teams().size(); ++team) {
     used_.push_back(cluster.usage(static_cast<int>(team)).used);
   }
+  placed_.resize(used_.size());
+  allowances_.resize(used_.size());
   victim_usage_.resize(used_.size());
 }
 
 uint32_t TeamQuotas::tasks_allowed(const Job& job) const {
   const auto team = static_cast<size_t>(job.team());
-  return tasks_below_limit(cluster_.teams()[team], used_[team], job.spec().need);
+  const Resources& need = job.spec().need;
+  const uint32_t tasks = tasks_below_limit(cluster_.teams()[team], used_[team], need);
+  return allowances_[team] ? std::min(tasks, tasks_within(*allowances_[team], need)) : tasks;
+}
+
+void TeamQuotas::charge(const Job& job, uint32_t tasks) {
+  const auto team = static_cast<size_t>(job.team());
+  const Resources needed = job.spec().need * tasks;
+  used_[team] += needed;
+  if (!job.spec().service) placed_[team] += needed;
+  if (allowances_[team]) *allowances_[team] -= needed;
+}
+
+Resources TeamQuotas::excess_of(const Job& gang) const {
+  const auto team = static_cast<size_t>(gang.team());
+  const settings::Team& limit = cluster_.teams()[team];
+  const Resources sum = used_[team] + gang.spec().need * gang.spec().tasks;
+  Resources excess = sum - Resources{limit.cpus_max, limit.gpus_max, sum.memory_gb};
+  // 0: no limit
+  if (limit.cpus_max <= 0 || gang.spec().need.cpus <= 0) excess.cpus = kUnlimited;
+  if (limit.gpus_max <= 0 || gang.spec().need.gpus <= 0) excess.gpus = kUnlimited;
+  return excess;
+}
+
+Resources TeamQuotas::used_by_services(int team) const {
+  Resources used;
+  for (const auto& [id, machine] : cluster_.machines()) {
+    for (const Allocation& allocation : machine->allocations) {
+      if (allocation.team == team && allocation.service) used += allocation.need;
+    }
+  }
+  return used;
+}
+
+bool TeamQuotas::allows_once_jobs_end(const Job& gang) const {
+  const Resources excess = excess_of(gang);
+  if (is_covered(excess, {})) return true;
+  const auto team = static_cast<size_t>(gang.team());
+  return is_covered(excess, used_[team] - used_by_services(gang.team()));
+}
+
+std::vector<TeamQuotas::ExpectedEnd> TeamQuotas::expected_ends(int team, Instant now) const {
+  std::vector<ExpectedEnd> ends;
+  std::map<std::string, ExpectedEnd> gangs;
+  for (const auto& [id, machine] : cluster_.machines()) {
+    for (const Allocation& allocation : machine->allocations) {
+      if (allocation.team != team || allocation.queued || allocation.service) continue;
+      const double in_seconds = seconds_until_end(allocation, now);
+      if (!allocation.gang) {
+        ends.push_back({in_seconds, allocation.need});
+        continue;
+      }
+      ExpectedEnd& gang = gangs[allocation.task.job];
+      gang.in_seconds = std::max(gang.in_seconds, in_seconds);
+      gang.freed += allocation.need;
+    }
+  }
+  for (const auto& [id, gang] : gangs) ends.push_back(gang);
+  std::stable_sort(ends.begin(), ends.end(), [](const ExpectedEnd& a, const ExpectedEnd& b) {
+    return a.in_seconds < b.in_seconds;
+  });
+  // The tasks that were placed in this cycle end last.
+  ends.push_back({std::numeric_limits<double>::max(), placed_[static_cast<size_t>(team)]});
+  return ends;
+}
+
+void TeamQuotas::reserve_for_gang(const Job& gang, Instant now) {
+  const auto team = static_cast<size_t>(gang.team());
+  if (allowances_[team]) return;
+  const Resources excess = excess_of(gang);
+  Resources freed;
+  for (const ExpectedEnd& end : expected_ends(gang.team(), now)) {
+    freed += end.freed;
+    if (!is_covered(excess, freed)) continue;
+    allowances_[team] = freed - excess;
+    return;
+  }
 }
 
 bool TeamQuotas::well_below_limit(const Job& job) const {
--- a/tests/cluster_parts_test.cpp
+++ b/tests/cluster_parts_test.cpp
@@ -86,18 +86,23 @@
   EXPECT_FALSE(forecasts.by_class().contains("other"));
 }
 
-TEST(TeamUsageTable, CountsReservationsAgainstLimit) {
+TEST(TeamUsageTable, LimitsTeamToItsAllowanceWhateverBecomesFree) {
   std::vector<settings::Team> teams(1);
   teams[0].cpus_max = 4;
   TeamUsageTable usage(teams);
   usage.add(0, {2, 0, 1});
   EXPECT_TRUE(usage.allows(0, {2, 0, 1}));
-  usage.reserve({Resources{1, 0, 0}});
+  usage.set_allowances({Resources{1, 0, 0}});
   EXPECT_FALSE(usage.allows(0, {2, 0, 1}));
   EXPECT_TRUE(usage.allows(0, {1, 0, 1}));
   EXPECT_TRUE(usage.allows(-1, {100, 0, 1})) << "an unknown team has no limit";
   usage.remove(0, {2, 0, 1});
-  EXPECT_TRUE(usage.allows(0, {2, 0, 1}));
+  EXPECT_FALSE(usage.allows(0, {2, 0, 1})) << "what becomes free is reserved for a gang";
+  usage.add(0, {1, 0, 1});
+  EXPECT_FALSE(usage.allows(0, {1, 0, 1})) << "the allowance is used up";
+  usage.set_allowances({});
+  EXPECT_TRUE(usage.allows(0, {3, 0, 1}));
+  EXPECT_FALSE(usage.allows(0, {4, 0, 1}));
 }
 
 TEST(FailureDetector, MachineIsUnreachableUntilItExecutesRun) {
--- a/tests/cluster_test.cpp
+++ b/tests/cluster_test.cpp
@@ -541,12 +541,36 @@
   }
   Effects ignored;
   cluster_state.machine_stored(machine, cluster_state.record_of(machine), ++mod_revision, ignored);
-  EXPECT_EQ(send(heartbeat()).size(), 2u);
-  // Resources reserved for a gang of the team are not available to its queued task.
-  cluster_state.set_reserved({}, {Resources{}, Resources{}, Resources{4, 0, 0}});
+  ASSERT_EQ(send(heartbeat()).size(), 2u);
   EXPECT_EQ(job.queued_tasks, 1u);
 }
 
+TEST_F(ClusterTest, QueuedTasksLeaveQuotaReservedForGang) {
+  // Guards against queued tasks that take each part of a team's limit that becomes free, so that a
+  // gang of the team never starts.
+  JobSpec spec = job("run-000001", 3);
+  spec.team = "tiny";  // limit: 4 cpus
+  Job& open_job = add(spec);
+  send(heartbeat());
+  Machine& machine = *cluster_state.find_machine("vm-1");
+  for (int i = 0; i < 3; ++i) {
+    cluster_state.queue_on(machine, open_job, *open_job.pop_pending(), cluster_state.next_attempt(),
+                           {}, now);
+  }
+  Effects ignored;
+  cluster_state.machine_stored(machine, cluster_state.record_of(machine), ++mod_revision, ignored);
+  // The team may use 2 cpus beside the gang, for one task.
+  cluster_state.set_reserved({}, {std::nullopt, std::nullopt, Resources{2, 0, 0}});
+  const auto commands = send(heartbeat());
+  ASSERT_EQ(commands.size(), 1u);
+  Heartbeat status = heartbeat();
+  status.tasks = {{commands[0].task, commands[0].attempt, TaskState::exited, ExitCause::done}};
+  for (const Command& command : send(status)) EXPECT_NE(command.op, Command::Op::start);
+  EXPECT_EQ(open_job.queued_tasks, 2u) << "what the task freed is for the gang";
+  cluster_state.set_reserved({}, {});
+  EXPECT_EQ(send(heartbeat()).size(), 2u);
+}
+
 TEST_F(ClusterTest, QueuedTaskIsMovedOffMachineWithoutHeartbeats) {
   Job& open_job = add(job("run-000001", 2));
   send(heartbeat());
