Scale out: pause at most four times the first pause after refusals

Change: at most 60 s with the default first pause of 15 s. The test states the new sequence, 15, 30, 60, 60, 60 s; the former bound of eight times was the fault.

--- a/src/dunlinknot/autoscaler/refusal_backoff.cpp
+++ b/src/dunlinknot/autoscaler/refusal_backoff.cpp
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr int kMaxPauseFactor = 8;  // upper bound of a pause, as a multiple of the initial pause
+// Upper bound of a pause, as a multiple of the initial pause. Capacity that has returned is
+// requested within the wait that users accept.
+constexpr int kMaxPauseFactor = 4;
 
 }  // namespace
 
--- a/src/dunlinknot/autoscaler/refusal_backoff.hpp
+++ b/src/dunlinknot/autoscaler/refusal_backoff.hpp
@@ -9,7 +9,7 @@
 namespace dunlinknot::autoscaler {
 
 // Tracks the offers that are currently in backoff. Each consecutive refusal doubles the pause, up
-// to eight times the initial pause. Capacity that the cloud lacks rarely returns within moments;
+// to four times the initial pause. Capacity that the cloud lacks rarely returns within moments;
 // without the backoff the cheapest offers were requested repeatedly, and more expensive offers with
 // capacity were never tried.
 class RefusalBackoff {
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -144,12 +144,12 @@
   EXPECT_EQ(text(TerminationReason::idle_no_fitting_task), "idle, and nothing that waits fits");
 }
 
-TEST(RefusalBackoff, PauseDoublesUpToEightTimesAndRestartsAfterReset) {
+TEST(RefusalBackoff, PauseDoublesUpToFourTimesAndRestartsAfterReset) {
   const scheduler::Offer offer{"box", "a", true};
   const scheduler::Offer other{"box", "a", false};
   RefusalBackoff backoff;
   Instant now = kTermSince;
-  for (const int pause : {15, 30, 60, 120, 120}) {
+  for (const int pause : {15, 30, 60, 60, 60}) {
     backoff.record_refusal(offer, seconds(15), now);
     EXPECT_EQ(backoff.offers_in_backoff(now + seconds(pause) - Nanos(1)), std::set{offer});
     EXPECT_TRUE(backoff.offers_in_backoff(now + seconds(pause)).empty());
