Preemption: hold no room for a job that cannot use it

A relative of the three cases: a nomination was kept, and its room held against other jobs, while the preemptor's team was at its limit, while the job had no pending tasks any more, and while it failed on every machine and waited for its next start. Nothing ended the first two.

Change: such nominations are cleared in the next cycle. A start that is delayed for a moment after a refusal keeps its room.

Tests: NoRoomIsHeldForJobWhoseTeamIsAtItsLimit, NoRoomIsHeldForFailingJobUntilItsNextStart, NoRoomIsHeldForJobWithoutPendingTasks.

--- a/src/dunlinknot/scheduler/arrays.cpp
+++ b/src/dunlinknot/scheduler/arrays.cpp
@@ -35,6 +35,8 @@
     to_place = std::min(to_place, initial_tasks(job));
   JobNominations nominations(state_, job);
   PlacementConstraints constraints = state_.cluster().constraints_of(job);
+  // Room is not held for tasks that the team's limit does not allow.
+  if (to_place == 0) nominations.keep_at_most(0);
   uint32_t placed = 0;
   WaitCause cause =
       state_.quota_is_reserved(job) ? WaitCause::quota_reserved : WaitCause::team_limit;
--- a/src/dunlinknot/scheduler/job_nominations.cpp
+++ b/src/dunlinknot/scheduler/job_nominations.cpp
@@ -18,6 +18,19 @@
     candidate->capacity.end_hold(nomination);
 }
 
+void clear_unused_nominations(CycleState& state, const std::vector<QueueEntry>& queue) {
+  const auto& nominations = state.inputs.nominations.all();
+  if (nominations.empty()) return;
+  std::set<std::string_view> considered;
+  for (const QueueEntry& entry : queue) considered.insert(entry.job->spec().id);
+  for (const auto& [id, nomination] : nominations) {
+    if (considered.contains(nomination.job)) continue;
+    const Job* job = state.cluster().job(nomination.job);
+    // A job whose next start is delayed for a moment keeps its room.
+    if (!job || job->pending() == 0 || job->failing) clear_nomination(state, id);
+  }
+}
+
 JobNominations::JobNominations(CycleState& state, const Job& job)
     : state_(state), job_(job), active_(state.inputs.nominations.of_job(job.spec().id)) {}
 
--- a/src/dunlinknot/scheduler/job_nominations.hpp
+++ b/src/dunlinknot/scheduler/job_nominations.hpp
@@ -3,6 +3,7 @@
 #include <string_view>
 #include <vector>
 
+#include "dunlinknot/scheduler/job_queue.hpp"
 #include "dunlinknot/scheduler/placement.hpp"
 
 namespace dunlinknot::scheduler {
@@ -13,6 +14,10 @@
 // Clears a nomination that is no longer needed; its room is available to other jobs in this cycle.
 void clear_nomination(CycleState& state, uint64_t nomination);
 
+// Clears the nominations of jobs that no stage of the cycle considers, because they have no pending
+// tasks or because they fail on every machine and wait for their next start.
+void clear_unused_nominations(CycleState& state, const std::vector<QueueEntry>& queue);
+
 // The job's active nominations. Each placement and each remaining nomination is added to the
 // constraints that the caller passes.
 class JobNominations {
--- a/src/dunlinknot/scheduler/preemption.cpp
+++ b/src/dunlinknot/scheduler/preemption.cpp
@@ -45,7 +45,6 @@
 void PreemptionStage::preempt(const QueueEntry& entry, const JobNominations& nominations,
                               uint32_t unplaced, PlacementConstraints& constraints) {
   const Job& job = *entry.job;
-  if (job.failing) return;  // a job that fails everywhere must not stop others
   // A nominated task may preempt again once no victim is allocated on its machine.
   std::vector<uint64_t> to_renew;
   for (const uint64_t id : nominations.active()) {
@@ -55,13 +54,14 @@
   if (unplaced == 0 && to_renew.empty()) return;
   // If machines can be launched, a task whose room was lost gets a machine like any other task. Its
   // nomination is cleared, since it would be neither used nor renewed.
-  const bool can_scale_out = scale_out_.possible(job, constraints);
+  // A job that fails on every machine must not stop others.
+  const bool may_preempt = !job.failing && !scale_out_.possible(job, constraints);
   for (const uint64_t id : to_renew) {
-    if (!can_scale_out && nominate(entry, id, constraints)) continue;
+    if (may_preempt && nominate(entry, id, constraints)) continue;
     clear_nomination(state_, id);
     constraints.remove(zone_of_nomination(state_.inputs, id), 1);
   }
-  if (can_scale_out) return;
+  if (!may_preempt) return;
   for (uint32_t remaining = unplaced; remaining > 0 && !limit_reached(); --remaining) {
     if (!nominate(entry, 0, constraints)) break;
   }
--- a/src/dunlinknot/scheduler/scheduling_cycle.cpp
+++ b/src/dunlinknot/scheduler/scheduling_cycle.cpp
@@ -17,6 +17,7 @@
 Plan SchedulingCycle::run() {
   reserve_headroom(state_);
   const std::vector<QueueEntry> queue = queue_of_jobs(state_);
+  clear_unused_nominations(state_, queue);
   gangs_.schedule_overdue(queue);
   for (const QueueEntry& entry : queue) schedule(entry);
   record_reserved_room();
--- /dev/null
+++ b/tests/failing_jobs_test.cpp
@@ -0,0 +1,64 @@
+// Tests that what keeps work from failing jobs and faulty machines comes to an end, and that room
+// is held only for preemptors that can use it.
+#include "scheduler_fixture.hpp"
+
+namespace dunlinknot::scheduler {
+namespace {
+
+struct FailingJobsTest : SchedulerTest {
+  // A replica of a service runs on the machine, which is then drained for errors of two jobs.
+  Machine& drained_machine_with_replica() {
+    Machine& drained = machine("vm-1");
+    JobSpec service = job("run-000009", 1);
+    service.service = true;
+    service.estimate = Seconds(0);
+    run(add(service), drained);
+    for (const char* id : {"run-000001", "run-000002"}) {
+      Job& failing_job = add(job(id, 4));
+      for (int i = 0; i < 2; ++i) fail_on(failing_job, drained);
+    }
+    EXPECT_TRUE(drained.draining);
+    return drained;
+  }
+  uint64_t hold_room(const std::string& job_id) {
+    return nominations.add(job_id, "vm-1", {4, 0, 4}, Priority::high, {});
+  }
+};
+
+TEST_F(FailingJobsTest, NoRoomIsHeldForJobWhoseTeamIsAtItsLimit) {
+  Machine& machine_1 = machine("vm-1");
+  JobSpec limited = job("run-000001", 1);
+  limited.team = "tiny";  // at most 4 cpus
+  limited.need.cpus = 4;
+  limited.priority = Priority::high;
+  run(add(limited), machine_1);
+  limited.id = "run-000002";
+  add(limited);
+  const uint64_t nomination = hold_room("run-000002");
+  add(job("run-000003", 2));
+  const Plan result_plan = plan();
+  EXPECT_EQ(result_plan.cleared_nominations, std::vector<uint64_t>{nomination});
+  EXPECT_EQ(task_count_by_machine(result_plan), (std::map<std::string, uint32_t>{{"vm-1", 2}}));
+}
+
+TEST_F(FailingJobsTest, NoRoomIsHeldForFailingJobUntilItsNextStart) {
+  machine("vm-1");
+  JobSpec high = job("run-000001", 1);
+  high.priority = Priority::high;
+  Job& failing_job = add(high);
+  const uint64_t nomination = hold_room("run-000001");
+  failing_job.not_before = now + seconds(1);
+  EXPECT_TRUE(plan().cleared_nominations.empty()) << "a start that is delayed for a moment";
+  failing_job.failing = true;
+  EXPECT_EQ(plan().cleared_nominations, std::vector<uint64_t>{nomination});
+}
+
+TEST_F(FailingJobsTest, NoRoomIsHeldForJobWithoutPendingTasks) {
+  Machine& machine_1 = machine("vm-1");
+  run(add(job("run-000001", 1)), machine_1);
+  const uint64_t nomination = hold_room("run-000001");
+  EXPECT_EQ(plan().cleared_nominations, std::vector<uint64_t>{nomination});
+}
+
+}  // namespace
+}  // namespace dunlinknot::scheduler
