Failure detector: try a drained machine again that replicas keep up

Replicas of services on it never end, so that it was drained for ever while jobs waited for its room.

Change: after the maximum backoff it gets work again; one more error drains it again.

Tests: DrainedMachineThatReplicasKeepUpIsTriedAgain, DrainedMachineWithoutReplicasIsReplaced.

--- a/src/dunlinknot/cluster/cluster.cpp
+++ b/src/dunlinknot/cluster/cluster.cpp
@@ -242,7 +242,10 @@
 
 Effects Cluster::tick(Instant now) {
   Effects effects;
-  for (auto& [id, machine] : machines()) effects |= interruptions_.tick(*machine, now);
+  for (auto& [id, machine] : machines()) {
+    effects.schedule |= failure_detector_.end_drain_if_due(*machine, now);
+    effects |= interruptions_.tick(*machine, now);
+  }
   effects.schedule |= replica_backoff_.release_due(jobs(), now);
   effects.stops |= allocations_.stop_calls().any();
   return effects;
--- a/src/dunlinknot/cluster/failure_detector.cpp
+++ b/src/dunlinknot/cluster/failure_detector.cpp
@@ -78,7 +78,7 @@
   job->failures.record(machine.id, {to_nanos(op_.initial_backoff), to_nanos(op_.max_backoff)}, now);
   machine.task_errors.jobs.insert(job->spec().id);
   back_off_if_failing(*job, now);
-  drain_if_faulty(machine, *job, jobs);
+  drain_if_faulty(machine, *job, jobs, now);
 }
 
 void FailureDetector::back_off_if_failing(Job& job, Instant now) const {
@@ -97,8 +97,8 @@
 
 // Errors of jobs that fail on every machine are not attributed to the machine. Errors of one job
 // are attributed to it if the job is known to succeed elsewhere, errors of two jobs in any case.
-void FailureDetector::drain_if_faulty(Machine& machine, const Job& job,
-                                      const JobTable& jobs) const {
+void FailureDetector::drain_if_faulty(Machine& machine, const Job& job, const JobTable& jobs,
+                                      Instant now) const {
   if (machine.draining) return;
   size_t attributed_jobs = 0;
   for (const std::string& id : machine.task_errors.jobs) {
@@ -109,10 +109,24 @@
   if (machine.task_errors.consecutive < op_.faults_to_drain) return;
   if (attributed_jobs < 2 && !(attributed_jobs == 1 && completed_elsewhere)) return;
   machine.draining = true;
+  machine.drained_at = now;
   machine.drain_reason = "fails the tasks that it starts";
   spdlog::info(
       "machine {} drained: {} consecutive task errors, attributed to it because of {} jobs",
       machine.id, machine.task_errors.consecutive, attributed_jobs);
 }
 
+bool FailureDetector::end_drain_if_due(Machine& machine, Instant now) const {
+  if (!machine.draining || now - machine.drained_at < to_nanos(op_.max_backoff)) return false;
+  const bool kept_up = std::any_of(
+      machine.allocations.begin(), machine.allocations.end(),
+      [](const Allocation& allocation) { return allocation.service && !allocation.stopping(); });
+  if (!kept_up) return false;
+  machine.draining = false;
+  machine.task_errors.consecutive = op_.faults_to_drain - 1;
+  spdlog::info("machine {}: tried again, because services keep it up since it was drained",
+               machine.id);
+  return true;
+}
+
 }  // namespace dunlinknot::cluster
--- a/src/dunlinknot/cluster/failure_detector.hpp
+++ b/src/dunlinknot/cluster/failure_detector.hpp
@@ -37,6 +37,10 @@
 
   // A task exited with an error. `job` is null if the job is no longer open.
   void on_task_error(Machine& machine, Job* job, const JobTable& jobs, Instant now) const;
+  // Ends the drain of a machine that replicas of services keep up, after the maximum backoff: such
+  // a machine never becomes empty, so that it is not replaced, and may work again. One more error
+  // drains it again. Returns whether the machine gets work again.
+  bool end_drain_if_due(Machine& machine, Instant now) const;
   // A task completed on the machine, which shows that the machine works.
   static void on_task_completed(Machine& machine);
   // A task that started at this time completed, or has run long enough not to fail at its start.
@@ -44,7 +48,7 @@
 
  private:
   void back_off_if_failing(Job& job, Instant now) const;
-  void drain_if_faulty(Machine& machine, const Job& job, const JobTable& jobs) const;
+  void drain_if_faulty(Machine& machine, const Job& job, const JobTable& jobs, Instant now) const;
 
   const settings::Operator& op_;
   Nanos lease_;
--- a/src/dunlinknot/cluster/machine.hpp
+++ b/src/dunlinknot/cluster/machine.hpp
@@ -86,6 +86,7 @@
   // --- errors of the tasks started on it (FailureDetector)
   bool draining = false;  // gets no work and will be replaced
   std::string drain_reason;
+  Instant drained_at{};
   TaskErrors task_errors;
   // The latest start of a task that then completed, or ran long enough not to have failed at its
   // start. Failures before it do not count against the machine any more.
--- a/tests/failing_jobs_test.cpp
+++ b/tests/failing_jobs_test.cpp
@@ -66,6 +66,33 @@
   EXPECT_EQ(array.not_before, now + seconds(10));
 }
 
+TEST_F(FailingJobsTest, DrainedMachineThatReplicasKeepUpIsTriedAgain) {
+  // Guards against a machine that is drained for ever, because a replica runs there, while jobs
+  // wait for its room.
+  Machine& drained = drained_machine_with_replica();
+  const auto tick_after = [&](Nanos duration) {
+    now += duration;
+    cluster.tick(now);
+  };
+  tick_after(to_nanos(operator_settings.max_backoff) - Millis(1));
+  EXPECT_TRUE(drained.draining);
+  tick_after(Millis(1));
+  EXPECT_FALSE(drained.draining);
+  fail_on(*cluster.job("run-000001"), drained);
+  EXPECT_TRUE(drained.draining) << "one more error drains it again";
+}
+
+TEST_F(FailingJobsTest, DrainedMachineWithoutReplicasIsReplaced) {
+  Machine& drained = machine("vm-1");
+  for (const char* id : {"run-000001", "run-000002"}) {
+    Job& failing_job = add(job(id, 4));
+    for (int i = 0; i < 2; ++i) fail_on(failing_job, drained);
+  }
+  now += to_nanos(operator_settings.max_backoff) * 2;
+  cluster.tick(now);
+  EXPECT_TRUE(drained.draining);
+}
+
 TEST_F(FailingJobsTest, NoRoomIsHeldForJobWhoseTeamIsAtItsLimit) {
   Machine& machine_1 = machine("vm-1");
   JobSpec limited = job("run-000001", 1);
