--- a/tests/random_scenario.hpp
+++ b/tests/random_scenario.hpp
@@ -20,6 +20,8 @@
 
   // Runs the scenario. Adds a test failure for each violation and each job that was not completed.
   void run();
+  // The same without adding test failures.
+  void run_without_checks();
   Site site{3};
 
  protected:
@@ -41,6 +43,10 @@
   virtual size_t job_count() const { return 9; }
   virtual Nanos duration() const { return seconds(400); }
   virtual std::function<Nanos(const TaskRef&)> fetch_time() { return nullptr; }
+  // Called for each new worker, after its run and fetch times were set.
+  virtual void prepare_worker(ScriptedWorker& /*worker*/) {}
+  // Called at the end. Jobs that were not cancelled must be done.
+  virtual void check_jobs();
   virtual JobSpec random_job(size_t index) {
     JobSpec spec = job("run-0000" + std::to_string(10 + index), static_cast<uint32_t>(1 + pick(6)));
     spec.team = std::vector<std::string>{"red", "blue", "tiny"}[pick(3)];
@@ -234,13 +240,20 @@
   }
 
   Rng rng;
+  std::vector<std::string> uncancelled_jobs;
   std::string fault_log;  // kind and start in seconds of each fault, for failure messages
 };
 
 inline void RandomScenario::run() {
+  run_without_checks();
+  for (const auto& violation : site.rules.violations())
+    ADD_FAILURE() << violation << "; faults:" << fault_log;
+  check_jobs();
+}
+
+inline void RandomScenario::run_without_checks() {
   prepare();
   site.run_for(seconds(2));
-  std::vector<std::string> uncancelled_jobs;
   for (size_t index = 0; index < job_count(); ++index) {
     const JobSpec spec = random_job(index);
     site.specs[spec.id] = spec;
@@ -261,12 +274,14 @@
   site.on_worker = [this, run_time](ScriptedWorker& worker) {
     worker.run_time = run_time;
     worker.fetch_time = fetch_time();
+    prepare_worker(worker);
   };
   const size_t fault_count = 2 + pick(2);
   for (size_t i = 0; i < fault_count; ++i) site.loop.spawn(inject_fault(random_duration(8, 60)));
   site.run_for(duration());
-  for (const auto& violation : site.rules.violations())
-    ADD_FAILURE() << violation << "; faults:" << fault_log;
+}
+
+inline void RandomScenario::check_jobs() {
   for (const auto& id : uncancelled_jobs) {
     if (!site.rules.was_accepted(id)) continue;
     if (site.specs[id].service) {
--- a/tests/rules.cpp
+++ b/tests/rules.cpp
@@ -144,4 +144,13 @@
   return job != jobs_.end() && job->second.accepted_at != Instant::max();
 }
 
+bool RuleChecker::is_open(const std::string& id) const {
+  if (!was_accepted(id)) return false;
+  const JobState& job = jobs_.at(id);
+  if (job.cancel_requested) return false;
+  if (job.spec.service) return true;
+  const size_t tasks_to_complete = job.spec.gang ? 1 : job.spec.tasks;
+  return job.completed_tasks.size() < tasks_to_complete;
+}
+
 }  // namespace dunlinknot::test
--- a/tests/rules.hpp
+++ b/tests/rules.hpp
@@ -50,6 +50,9 @@
   // platform's cancellation period, because the command may have been in flight.
   size_t late_starts() const { return late_starts_; }
   bool was_accepted(const std::string& id) const;
+  // Whether the job was accepted, its cancellation was not requested and not all of its tasks have
+  // completed. A gang completes as a whole.
+  bool is_open(const std::string& id) const;
 
  private:
   struct Running {
