--- a/tests/scripted_worker.cpp
+++ b/tests/scripted_worker.cpp
@@ -8,6 +8,12 @@
 using wire::Document;
 using wire::View;
 
+namespace {
+
+constexpr auto kResponseTimeout = seconds(4);  // a worker drops later responses
+
+}  // namespace
+
 ScriptedWorker::ScriptedWorker(EventLoop& loop, std::string machine_id, const MachineType& type,
                                std::string zone, bool spot, std::string worker_address, Nanos lease)
     : id(std::move(machine_id)),
@@ -138,6 +144,7 @@
       continue;
     }
     const uint64_t sent_by_incarnation = incarnation;
+    last_heartbeat_sent_at_ = sent;
     http::Request request;
     request.method = "POST";
     request.target = "/agent/beat";
@@ -146,21 +153,38 @@
     co_await loop_.sleep(Millis(1));
     if (!powered_on) co_return;
     // The worker's timeout for a response is 4 s; a machine that hung meanwhile drops it too.
-    const bool in_time = loop_.now() - sent <= seconds(4) && !hung;
+    const bool in_time = loop_.now() - sent <= kResponseTimeout && !hung;
     if (response.status == 200 && !drop_responses && !isolated && in_time &&
-        sent_by_incarnation == incarnation) {
-      const auto doc = Document::parse(response.body);
-      const auto token = doc->root()["baton"].count();
-      if (token && *token >= fencing_token) {
-        fencing_token = *token;
-        lease_renewed_at_ = sent;
-        execute_commands(doc->root()["orders"]);
-      }
+        sent_by_incarnation == incarnation && accept_response(response.body)) {
+      lease_renewed_at_ = sent;
+      if (on_commands) on_commands({response.body, false, incarnation, sent});
     }
     co_await loop_.sleep(interval);
   }
 }
 
+// Executes the commands of a response unless its token is lower than one received before.
+bool ScriptedWorker::accept_response(const std::string& body) {
+  const auto doc = Document::parse(body);
+  const auto token = doc->root()["baton"].count();
+  if (!token || *token < fencing_token) return false;
+  fencing_token = *token;
+  execute_commands(doc->root()["orders"]);
+  return true;
+}
+
+void ScriptedWorker::execute_copy(const ReceivedCommands& received, bool any_response) {
+  if (!powered_on || hung) return;
+  if (received.direct) {
+    (void)execute(received.body);
+    return;
+  }
+  const bool awaited = received.heartbeat_sent_at == last_heartbeat_sent_at_ &&
+                       loop_.now() - received.heartbeat_sent_at <= kResponseTimeout;
+  if (received.incarnation == incarnation && (awaited || any_response))
+    (void)accept_response(received.body);
+}
+
 Task<void> ScriptedWorker::watch_lease() {
   while (powered_on) {
     const Instant ends = lease_renewed_at_ + lease_;
@@ -184,6 +208,7 @@
     co_await loop_.sleep_until(call.deadline);
     co_return Reply{};
   }
+  if (on_commands) on_commands({call.body, true, incarnation, {}});
   co_return execute(call.body);
 }
 
--- a/tests/scripted_worker.hpp
+++ b/tests/scripted_worker.hpp
@@ -33,6 +33,18 @@
   void power_off();
   // Serves a command that a controller sends directly (POST /do).
   Task<http::Reply> serve_command(http::Call call);
+  // Commands that the worker executed, as they arrived.
+  struct ReceivedCommands {
+    std::string body;
+    bool direct = false;  // by a direct call; otherwise in the response to a heartbeat
+    uint64_t incarnation = 0;
+    Instant heartbeat_sent_at{};  // of a response: when its heartbeat was sent
+  };
+  // Executes a late copy of commands, as far as the protocol allows: a copy of a direct call if its
+  // token and incarnation still match; a copy of a response only while no later heartbeat was sent
+  // and within the time for which a worker waits for a response. `any_response`: a copy of a
+  // response at any time within its incarnation, which the protocol excludes.
+  void execute_copy(const ReceivedCommands& received, bool any_response = false);
   // The next heartbeat, with the next sequence number.
   Heartbeat heartbeat();
   void execute_commands(wire::View commands);
@@ -53,6 +65,7 @@
   std::vector<std::pair<TaskRef, uint64_t>> started;      // task and attempt in order of start
   std::function<void(const TaskRef&)> on_start;
   std::function<void(const Running&)> on_end;
+  std::function<void(const ReceivedCommands&)> on_commands;
   uint64_t incarnation = 1, sequence = 0, fencing_token = 0;
   std::string id;
   std::string address;
@@ -63,13 +76,15 @@
   void end(Running& running, ExitCause cause);
   void end_all();
   http::Reply execute(const std::string& body);
+  bool accept_response(const std::string& body);
   Task<void> execute_later(std::string body);
   EventLoop& loop_;
   MachineType type_;
   std::string zone_;
   bool spot_;
   Nanos lease_;
-  Instant lease_renewed_at_;  // when the last accepted heartbeat was sent
+  Instant lease_renewed_at_;        // when the last accepted heartbeat was sent
+  Instant last_heartbeat_sent_at_;  // when the last heartbeat was sent
 };
 
 }  // namespace dunlinknot::test
